Core: state charts in files, an interpreter with load-time checks, records

Cause: life cycles have to be read in their charts and not in ifs; decisions must stay free of input and output. Change: chart files in JSON, loaded with typed faults (unknown name, unreachable state, dead end, ambiguous event, uncancelled timer), interpreted by Chart and Population; records for rows, messages, requests and effects; desks for store calls, membership, slices, entry and serving, put together by NodeCore. Ruled out: timers as effects with ids (a cancelled timer could still fire); timers are part of the instance instead.

--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/chart/Population.java
@@ -0,0 +1,164 @@
+package org.verbenamast.core.chart;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.PriorityQueue;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
+
+import org.verbenamast.core.effect.Effects;
+
+/**
+ * The instances of one chart, by key, with their timers. Instances that reach a final state are removed. Belongs to one
+ * loop: it is not safe for use by several threads.
+ *
+ * @param <K> the type of the keys
+ * @param <E> the type of the events
+ * @param <D> the type of the instances' data
+ * @param <I> the type of the events' input
+ */
+public final class Population<K, E extends Enum<E>, D, I> {
+
+    private final Chart<E, D, I> chart;
+    private final Function<E, I> timerInput;
+    private final TransitionListener listener;
+    private final Map<K, Instance<D>> instances = new HashMap<>();
+    private final PriorityQueue<Alarm<K>> alarms = new PriorityQueue<>();
+
+    /**
+     * Makes an empty population.
+     *
+     * @param chart the chart that the instances follow
+     * @param timerInput makes the input of an event that a timer fires
+     * @param listener is told of each transition
+     */
+    public Population(Chart<E, D, I> chart, Function<E, I> timerInput, TransitionListener listener) {
+        this.chart = Objects.requireNonNull(chart, "chart");
+        this.timerInput = Objects.requireNonNull(timerInput, "timerInput");
+        this.listener = Objects.requireNonNull(listener, "listener");
+    }
+
+    /**
+     * Begins a life cycle under a key that has none.
+     *
+     * @param key the key
+     * @param data the first data
+     * @param now the monotonic time, in nanoseconds
+     * @return the new instance
+     */
+    public Instance<D> begin(K key, D data, long now) {
+        Instance<D> begun = chart.begin(data, now);
+        keep(key, begun);
+        return begun;
+    }
+
+    /**
+     * Fires an event at one instance.
+     *
+     * @param key the key
+     * @param event the event
+     * @param input the event's input
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     * @return whether the instance exists and its state takes the event
+     */
+    public boolean fire(K key, E event, I input, long now, Effects effects) {
+        Instance<D> at = instances.get(key);
+        if (at == null) {
+            return false;
+        }
+        Transition<D, I> taken = chart.choose(at, event, input, now);
+        if (taken == null) {
+            return false;
+        }
+        Instance<D> next = chart.follow(taken, at, input, now, effects);
+        keep(key, next);
+        listener.taken(chart.name(), key, event, taken, now);
+        return true;
+    }
+
+    private void keep(K key, Instance<D> next) {
+        if (next.ended()) {
+            instances.remove(key);
+            return;
+        }
+        Instance<D> before = instances.put(key, next);
+        long due = next.deadlines().earliest();
+        boolean known = before != null && before.deadlines().earliest() == due;
+        if (due != Deadlines.NOT_ARMED && !known) {
+            alarms.add(new Alarm<>(due, key));
+        }
+    }
+
+    /**
+     * Fires the events of all timers that are due.
+     *
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void advance(long now, Effects effects) {
+        while (!alarms.isEmpty() && alarms.peek().due() <= now) {
+            fireDue(alarms.poll().key(), now, effects);
+        }
+    }
+
+    private void fireDue(K key, long now, Effects effects) {
+        Instance<D> at = instances.get(key);
+        int timer = at == null ? -1 : at.deadlines().firstDue(now);
+        if (timer < 0) {
+            return;
+        }
+        E event = chart.eventOf(timer);
+        keep(key, chart.disarm(at, timer));
+        fire(key, event, timerInput.apply(event), now, effects);
+        Instance<D> after = instances.get(key);
+        if (after != null && after.deadlines().earliest() <= now) {
+            alarms.add(new Alarm<>(now, key));
+        }
+    }
+
+    /**
+     * Returns when the next timer may be due.
+     *
+     * @return the monotonic time in nanoseconds, or {@link Deadlines#NOT_ARMED}
+     */
+    public long nextDue() {
+        return alarms.isEmpty() ? Deadlines.NOT_ARMED : alarms.peek().due();
+    }
+
+    /**
+     * Finds an instance.
+     *
+     * @param key the key
+     * @return the instance, or null where there is none
+     */
+    public Instance<D> find(K key) {
+        return instances.get(key);
+    }
+
+    /**
+     * Visits all instances; the visitor must not change the population.
+     *
+     * @param visitor is given each key and instance
+     */
+    public void forEach(BiConsumer<K, Instance<D>> visitor) {
+        instances.forEach(visitor);
+    }
+
+    /**
+     * Returns how many instances live.
+     *
+     * @return the number
+     */
+    public int size() {
+        return instances.size();
+    }
+
+    private record Alarm<K>(long due, K key) implements Comparable<Alarm<K>> {
+        @Override
+        public int compareTo(Alarm<K> other) {
+            return Long.compare(due, other.due);
+        }
+    }
+}
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/chart/file/ChartChecks.java
@@ -0,0 +1,138 @@
+package org.verbenamast.core.chart.file;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.verbenamast.core.chart.TimerRule;
+import org.verbenamast.core.chart.Vocabulary;
+
+/** The checks that a chart file has to pass before it is resolved. */
+final class ChartChecks {
+
+    private final ChartFile file;
+    private final Vocabulary<?, ?, ?, ?, ?> vocabulary;
+    private final List<ChartFault> faults = new ArrayList<>();
+
+    ChartChecks(ChartFile file, Vocabulary<?, ?, ?, ?, ?> vocabulary) {
+        this.file = file;
+        this.vocabulary = vocabulary;
+    }
+
+    List<ChartFault> faults() {
+        checkNames();
+        if (faults.isEmpty()) {
+            checkReachable();
+            file.states().forEach(this::checkWayOut);
+            file.states().forEach(this::checkAmbiguity);
+            faults.addAll(new TimerFlow(file, eventsOfTimers()).faults());
+        }
+        return faults;
+    }
+
+    private void checkNames() {
+        Set<String> states = new HashSet<>();
+        for (ChartFile.StateEntry state : file.states()) {
+            if (!states.add(state.name())) {
+                faults.add(ChartFault.shouldBeUnique(file.chart(), state.name()));
+            }
+        }
+        known("state", "(initial)", file.initial(), states);
+        file.states().forEach(state -> checkNames(state, states));
+    }
+
+    private void checkNames(ChartFile.StateEntry state, Set<String> states) {
+        Set<String> timers = constants(vocabulary.timers());
+        Set<String> tags = constants(vocabulary.tags());
+        state.starts().forEach(timer -> known("timer", state.name(), timer, timers));
+        state.cancels().forEach(timer -> known("timer", state.name(), timer, timers));
+        state.tags().forEach(tag -> known("tag", state.name(), tag, tags));
+        for (ChartFile.TransitionEntry transition : state.on()) {
+            checkNames(state.name(), transition, states);
+        }
+    }
+
+    private void checkNames(String state, ChartFile.TransitionEntry transition, Set<String> states) {
+        Set<String> actions = constants(vocabulary.actions());
+        known("event", state, transition.event(), constants(vocabulary.events()));
+        transition.actions().forEach(action -> known("action", state, action, actions));
+        if (!transition.when().isEmpty()) {
+            known("guard", state, transition.when(), constants(vocabulary.guards()));
+        }
+        if (!transition.to().isEmpty()) {
+            known("state", state, transition.to(), states);
+        }
+    }
+
+    private void known(String sort, String state, String name, Collection<String> names) {
+        if (!names.contains(name)) {
+            faults.add(ChartFault.shouldNameKnown(file.chart(), sort, state, name, names));
+        }
+    }
+
+    private static Set<String> constants(Class<? extends Enum<?>> type) {
+        Set<String> names = new HashSet<>();
+        Arrays.stream(type.getEnumConstants()).forEach(constant -> names.add(constant.name()));
+        return names;
+    }
+
+    private void checkReachable() {
+        Map<String, ChartFile.StateEntry> byName = new HashMap<>();
+        file.states().forEach(state -> byName.put(state.name(), state));
+        Set<String> reached = new HashSet<>(Set.of(file.initial()));
+        Deque<String> open = new ArrayDeque<>(reached);
+        while (!open.isEmpty()) {
+            for (ChartFile.TransitionEntry transition : byName.get(open.pop()).on()) {
+                if (!transition.to().isEmpty() && reached.add(transition.to())) {
+                    open.push(transition.to());
+                }
+            }
+        }
+        file.states().stream()
+                .filter(state -> !reached.contains(state.name()))
+                .forEach(state -> faults.add(ChartFault.shouldBeReachable(file.chart(), state.name())));
+    }
+
+    private void checkWayOut(ChartFile.StateEntry state) {
+        boolean leaves = state.on().stream().anyMatch(t -> leavesFrom(state, t));
+        if (!state.last() && !leaves) {
+            faults.add(ChartFault.shouldHaveWayOut(file.chart(), state.name()));
+        }
+        if (state.last() && !(state.on().isEmpty() && state.starts().isEmpty())) {
+            faults.add(ChartFault.shouldEnd(file.chart(), state.name()));
+        }
+    }
+
+    private static boolean leavesFrom(ChartFile.StateEntry state, ChartFile.TransitionEntry transition) {
+        return !transition.to().isEmpty() && !transition.to().equals(state.name());
+    }
+
+    private void checkAmbiguity(ChartFile.StateEntry state) {
+        Set<String> settled = new HashSet<>();
+        Set<String> named = new HashSet<>();
+        for (ChartFile.TransitionEntry transition : state.on()) {
+            boolean repeated = !named.add(transition.event() + " " + transition.when());
+            if (settled.contains(transition.event()) || repeated) {
+                faults.add(ChartFault.shouldBeUnambiguous(file.chart(), state.name(), transition.event()));
+            }
+            if (transition.when().isEmpty()) {
+                settled.add(transition.event());
+            }
+        }
+    }
+
+    private Map<String, String> eventsOfTimers() {
+        Map<String, String> events = new HashMap<>();
+        for (Enum<?> timer : vocabulary.timers().getEnumConstants()) {
+            events.put(timer.name(), ((TimerRule<?, ?>) timer).fires().name());
+        }
+        return events;
+    }
+}
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/check/InvalidValueException.java
@@ -0,0 +1,30 @@
+package org.verbenamast.core.check;
+
+/** A value that a caller passed breaks the contract of the type that takes it. */
+public final class InvalidValueException extends IllegalArgumentException {
+
+    private InvalidValueException(String message) {
+        super(message);
+    }
+
+    static InvalidValueException shouldNotBeBlank(String name) {
+        return new InvalidValueException("%s should not be blank".formatted(name));
+    }
+
+    static InvalidValueException shouldBePositive(String name, long value) {
+        return new InvalidValueException("%s should be positive but was <%d>".formatted(name, value));
+    }
+
+    static InvalidValueException shouldNotBeNegative(String name, long value) {
+        return new InvalidValueException("%s should not be negative but was <%d>".formatted(name, value));
+    }
+
+    static InvalidValueException shouldBeWithin(String name, long value, long min, long max) {
+        return new InvalidValueException(
+                "%s should be between <%d> and <%d> but was <%d>".formatted(name, min, max, value));
+    }
+
+    static InvalidValueException shouldHaveForm(String name, String form, String value) {
+        return new InvalidValueException("%s should have the form <%s> but was <%s>".formatted(name, form, value));
+    }
+}
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServeAction.java
@@ -0,0 +1,93 @@
+package org.verbenamast.core.gate;
+
+import org.verbenamast.core.chart.Action;
+import org.verbenamast.core.effect.Effect;
+import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.message.PeerMessage;
+import org.verbenamast.core.request.NotRunReason;
+import org.verbenamast.core.request.RequestOutcome;
+import org.verbenamast.core.request.UnknownReason;
+
+/** The steps in the chart of a request at the member whose backend server is to run it. */
+public enum ServeAction implements Action<ServeData, ServeInput> {
+    /** Gives the request to the backend server. */
+    CALL_SERVER {
+        @Override
+        public ServeData apply(ServeData data, ServeInput input, long now, Effects effects) {
+            input.gate().call(data, now, effects);
+            return data;
+        }
+    },
+    /** Notes that the backend server is done with the request. */
+    RELEASE {
+        @Override
+        public ServeData apply(ServeData data, ServeInput input, long now, Effects effects) {
+            input.gate().release(data, input.reply(), now, effects);
+            return data;
+        }
+    },
+    /** Lets the request wait. */
+    ENQUEUE {
+        @Override
+        public ServeData apply(ServeData data, ServeInput input, long now, Effects effects) {
+            input.gate().enqueue(data);
+            return data;
+        }
+    },
+    /** Takes the request out of the queue. */
+    DEQUEUE {
+        @Override
+        public ServeData apply(ServeData data, ServeInput input, long now, Effects effects) {
+            input.gate().dequeue(data);
+            return data;
+        }
+    },
+    /** Tells the backend server that nobody waits any more. */
+    CANCEL_AT_SERVER {
+        @Override
+        public ServeData apply(ServeData data, ServeInput input, long now, Effects effects) {
+            input.gate().cancelAtServer(data, effects);
+            return data;
+        }
+    },
+    /** Tells the sender how the call to the backend server ended. */
+    REPLY_OUTCOME {
+        @Override
+        public ServeData apply(ServeData data, ServeInput input, long now, Effects effects) {
+            return reply(data, input.reply().kind().outcome(input.reply()), effects);
+        }
+    },
+    /** Tells the sender that this node may not have the request run. */
+    REFUSE_NOT_MINE {
+        @Override
+        public ServeData apply(ServeData data, ServeInput input, long now, Effects effects) {
+            return reply(data, new RequestOutcome.NotRun(NotRunReason.WRONG_OWNER), effects);
+        }
+    },
+    /** Tells the sender that the backend server and the queue are full. */
+    REFUSE_OVERLOADED {
+        @Override
+        public ServeData apply(ServeData data, ServeInput input, long now, Effects effects) {
+            return reply(data, new RequestOutcome.NotRun(NotRunReason.OVERLOADED), effects);
+        }
+    },
+    /** Tells the sender that the deadline passed before the backend server was given the request. */
+    REFUSE_OVERDUE {
+        @Override
+        public ServeData apply(ServeData data, ServeInput input, long now, Effects effects) {
+            return reply(data, new RequestOutcome.NotRun(NotRunReason.DEADLINE_PASSED), effects);
+        }
+    },
+    /** Tells the sender that the deadline passed while the backend server had the request. */
+    REPLY_OVERDUE {
+        @Override
+        public ServeData apply(ServeData data, ServeInput input, long now, Effects effects) {
+            return reply(data, new RequestOutcome.Unknown(UnknownReason.DEADLINE_PASSED), effects);
+        }
+    };
+
+    private static ServeData reply(ServeData data, RequestOutcome outcome, Effects effects) {
+        effects.emit(new Effect.SendToPeer(data.from(), new PeerMessage.Ended(data.id(), outcome)));
+        return data;
+    }
+}
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/membership/MemberAction.java
@@ -0,0 +1,48 @@
+package org.verbenamast.core.membership;
+
+import org.verbenamast.core.chart.Action;
+import org.verbenamast.core.effect.Effect;
+import org.verbenamast.core.effect.Effects;
+
+/** The steps in the chart of this node's own membership. */
+public enum MemberAction implements Action<MemberData, MemberInput> {
+    /** Notes what the backend server announced. */
+    NOTE_SERVER {
+        @Override
+        public MemberData apply(MemberData data, MemberInput input, long now, Effects effects) {
+            return new MemberData(input.announcement(), data.desk());
+        }
+    },
+    /** Writes the row as that of a member that takes work. */
+    WRITE_ACTIVE {
+        @Override
+        public MemberData apply(MemberData data, MemberInput input, long now, Effects effects) {
+            data.desk().write(data.announcement(), MemberStatus.ACTIVE, now, effects);
+            return data;
+        }
+    },
+    /** Writes the row as that of a member that is stopping. */
+    WRITE_LEAVING {
+        @Override
+        public MemberData apply(MemberData data, MemberInput input, long now, Effects effects) {
+            data.desk().write(data.announcement(), MemberStatus.LEAVING, now, effects);
+            return data;
+        }
+    },
+    /** Writes the row as that of an incarnation that has ended. */
+    WRITE_ENDED {
+        @Override
+        public MemberData apply(MemberData data, MemberInput input, long now, Effects effects) {
+            data.desk().write(data.announcement(), MemberStatus.ENDED, now, effects);
+            return data;
+        }
+    },
+    /** Lets the process exit. */
+    TELL_STOPPED {
+        @Override
+        public MemberData apply(MemberData data, MemberInput input, long now, Effects effects) {
+            effects.emit(new Effect.Stopped());
+            return data;
+        }
+    }
+}
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/membership/MemberData.java
@@ -0,0 +1,17 @@
+package org.verbenamast.core.membership;
+
+import java.util.Objects;
+
+/**
+ * The data of this node's own membership.
+ *
+ * @param announcement what the backend server announced last, or null before the first time
+ * @param desk writes the row
+ */
+public record MemberData(ServerAnnouncement announcement, MemberDesk desk) {
+
+    /** Checks the desk. */
+    public MemberData {
+        Objects.requireNonNull(desk, "desk");
+    }
+}
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/message/PeerMessage.java
@@ -0,0 +1,230 @@
+package org.verbenamast.core.message;
+
+import java.util.List;
+import java.util.Objects;
+
+import org.verbenamast.core.model.MemberId;
+import org.verbenamast.core.model.RequestId;
+import org.verbenamast.core.request.CallerRequest;
+import org.verbenamast.core.request.RequestOutcome;
+import org.verbenamast.core.store.Row;
+import org.verbenamast.core.store.RowKey;
+
+/** What members send each other. */
+public sealed interface PeerMessage {
+
+    /**
+     * Hands this message to the method of a handler that takes its kind.
+     *
+     * @param handler the handler
+     * @param from the sender
+     * @param now the monotonic time, in nanoseconds
+     */
+    void deliver(PeerMessageHandler handler, MemberId from, long now);
+
+    /**
+     * Asks the receiver to have a request run by its backend server.
+     *
+     * @param id the request's identity
+     * @param request the request
+     * @param remainingNanos the time until the deadline, in nanoseconds
+     */
+    record Forward(RequestId id, CallerRequest request, long remainingNanos) implements PeerMessage {
+
+        /** Checks the parts. */
+        public Forward {
+            Objects.requireNonNull(id, "id");
+            Objects.requireNonNull(request, "request");
+        }
+
+        @Override
+        public void deliver(PeerMessageHandler handler, MemberId from, long now) {
+            handler.onForward(from, this, now);
+        }
+    }
+
+    /**
+     * Tells how a forwarded request ended.
+     *
+     * @param id the request's identity
+     * @param outcome how it ended
+     */
+    record Ended(RequestId id, RequestOutcome outcome) implements PeerMessage {
+
+        /** Checks the parts. */
+        public Ended {
+            Objects.requireNonNull(id, "id");
+            Objects.requireNonNull(outcome, "outcome");
+        }
+
+        @Override
+        public void deliver(PeerMessageHandler handler, MemberId from, long now) {
+            handler.onEnded(from, this, now);
+        }
+    }
+
+    /**
+     * Tells that nobody waits for a forwarded request any more.
+     *
+     * @param id the request's identity
+     */
+    record Cancel(RequestId id) implements PeerMessage {
+
+        /** Checks the identity. */
+        public Cancel {
+            Objects.requireNonNull(id, "id");
+        }
+
+        @Override
+        public void deliver(PeerMessageHandler handler, MemberId from, long now) {
+            handler.onCancel(from, this, now);
+        }
+    }
+
+    /**
+     * Asks the receiver to vouch for the sender's incarnation for the length of a lease.
+     *
+     * @param voucher the incarnation of the receiver that is asked
+     * @param sentAt the sender's monotonic time, in nanoseconds; only echoed
+     */
+    record Vouch(MemberId voucher, long sentAt) implements PeerMessage {
+
+        /** Checks the receiver. */
+        public Vouch {
+            Objects.requireNonNull(voucher, "voucher");
+        }
+
+        @Override
+        public void deliver(PeerMessageHandler handler, MemberId from, long now) {
+            handler.onVouch(from, this, now);
+        }
+    }
+
+    /**
+     * Answers {@link Vouch}.
+     *
+     * @param sentAt the time that the request carried
+     * @param granted whether the sender vouches
+     */
+    record VouchReply(long sentAt, boolean granted) implements PeerMessage {
+
+        @Override
+        public void deliver(PeerMessageHandler handler, MemberId from, long now) {
+            handler.onVouchReply(from, this, now);
+        }
+    }
+
+    /**
+     * Asks the receiver never to vouch for an incarnation again.
+     *
+     * @param voucher the incarnation of the receiver that is asked
+     * @param holder the incarnation that is to lose its lease
+     */
+    record Seal(MemberId voucher, MemberId holder) implements PeerMessage {
+
+        /** Checks the parts. */
+        public Seal {
+            Objects.requireNonNull(voucher, "voucher");
+            Objects.requireNonNull(holder, "holder");
+        }
+
+        @Override
+        public void deliver(PeerMessageHandler handler, MemberId from, long now) {
+            handler.onSeal(from, this, now);
+        }
+    }
+
+    /**
+     * Answers {@link Seal}: the sender will never vouch for the holder again.
+     *
+     * @param holder the incarnation
+     * @param sealed whether the sender made the promise
+     * @param remainingNanos how long what the sender vouched for earlier still holds, in nanoseconds
+     */
+    record SealReply(MemberId holder, boolean sealed, long remainingNanos) implements PeerMessage {
+
+        /** Checks the holder. */
+        public SealReply {
+            Objects.requireNonNull(holder, "holder");
+        }
+
+        @Override
+        public void deliver(PeerMessageHandler handler, MemberId from, long now) {
+            handler.onSealReply(from, this, now);
+        }
+    }
+
+    /**
+     * Spreads rows of the table service.
+     *
+     * @param rows the rows
+     */
+    record RowPush(List<Row> rows) implements PeerMessage {
+
+        /** Copies the list. */
+        public RowPush {
+            rows = List.copyOf(rows);
+        }
+
+        @Override
+        public void deliver(PeerMessageHandler handler, MemberId from, long now) {
+            handler.onRowPush(from, this, now);
+        }
+    }
+
+    /**
+     * Offers a summary of the rows that the sender knows: one number per bucket of row keys.
+     *
+     * @param buckets the numbers; equal numbers mean equal rows
+     */
+    record DigestOffer(List<Long> buckets) implements PeerMessage {
+
+        /** Copies the list. */
+        public DigestOffer {
+            buckets = List.copyOf(buckets);
+        }
+
+        @Override
+        public void deliver(PeerMessageHandler handler, MemberId from, long now) {
+            handler.onDigestOffer(from, this, now);
+        }
+    }
+
+    /**
+     * Lists the versions of the rows in some buckets, so that the receiver can send what is newer and ask for the rest.
+     *
+     * @param buckets the numbers of the buckets
+     * @param versions the versions of all rows that the sender has in them
+     */
+    record BucketVersions(List<Integer> buckets, List<RowVersion> versions) implements PeerMessage {
+
+        /** Copies the lists. */
+        public BucketVersions {
+            buckets = List.copyOf(buckets);
+            versions = List.copyOf(versions);
+        }
+
+        @Override
+        public void deliver(PeerMessageHandler handler, MemberId from, long now) {
+            handler.onBucketVersions(from, this, now);
+        }
+    }
+
+    /**
+     * Asks for rows.
+     *
+     * @param keys the keys of the rows
+     */
+    record RowRequest(List<RowKey> keys) implements PeerMessage {
+
+        /** Copies the list. */
+        public RowRequest {
+            keys = List.copyOf(keys);
+        }
+
+        @Override
+        public void deliver(PeerMessageHandler handler, MemberId from, long now) {
+            handler.onRowRequest(from, this, now);
+        }
+    }
+}
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/model/KeyHash.java
@@ -0,0 +1,28 @@
+package org.verbenamast.core.model;
+
+import java.nio.charset.StandardCharsets;
+import java.util.zip.CRC32C;
+
+/** The hash that spreads keys over slices. It is part of the stored format and never changes. */
+public final class KeyHash {
+
+    private static final int MIX_SHIFT = 16;
+    private static final int MIX_FACTOR = 0x85ebca6b;
+
+    private KeyHash() {}
+
+    /**
+     * Hashes a key.
+     *
+     * @param key the key
+     * @return a number, the same on every machine
+     */
+    public static int of(String key) {
+        CRC32C crc = new CRC32C();
+        crc.update(key.getBytes(StandardCharsets.UTF_8));
+        int hash = (int) crc.getValue();
+        hash ^= hash >>> MIX_SHIFT;
+        hash *= MIX_FACTOR;
+        return hash ^ (hash >>> MIX_SHIFT);
+    }
+}
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/ownership/SliceAction.java
@@ -0,0 +1,37 @@
+package org.verbenamast.core.ownership;
+
+import org.verbenamast.core.chart.Action;
+import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.model.MemberId;
+
+/** The steps in the chart of a slice. */
+public enum SliceAction implements Action<SliceData, SliceInput> {
+    /** Counts a request in. */
+    COUNT_IN {
+        @Override
+        public SliceData apply(SliceData data, SliceInput input, long now, Effects effects) {
+            return data.withRunning(data.running() + 1);
+        }
+    },
+    /** Counts a request out. */
+    COUNT_OUT {
+        @Override
+        public SliceData apply(SliceData data, SliceInput input, long now, Effects effects) {
+            return data.withRunning(data.running() - 1);
+        }
+    },
+    /** Notes where the slice is to move. */
+    SET_TARGET {
+        @Override
+        public SliceData apply(SliceData data, SliceInput input, long now, Effects effects) {
+            return data.withTarget(input.target());
+        }
+    },
+    /** Forgets where the slice was to move. */
+    CLEAR_TARGET {
+        @Override
+        public SliceData apply(SliceData data, SliceInput input, long now, Effects effects) {
+            return data.withTarget(MemberId.NONE);
+        }
+    }
+}
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/EntryDesk.java
@@ -0,0 +1,155 @@
+package org.verbenamast.core.request;
+
+import java.util.Objects;
+import java.util.Optional;
+
+import org.verbenamast.core.chart.Chart;
+import org.verbenamast.core.chart.NoTag;
+import org.verbenamast.core.chart.Population;
+import org.verbenamast.core.chart.TransitionListener;
+import org.verbenamast.core.chart.Vocabulary;
+import org.verbenamast.core.chart.file.ChartReader;
+import org.verbenamast.core.effect.Effect;
+import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.model.MemberId;
+import org.verbenamast.core.model.RequestId;
+import org.verbenamast.core.model.ServiceSettings;
+import org.verbenamast.core.node.CoreSettings;
+
+/** The requests that this node took from callers. */
+public final class EntryDesk {
+
+    /** The names that the chart file may use. */
+    public static final Vocabulary<EntryEvent, EntryGuard, EntryAction, EntryTimer, NoTag> VOCABULARY =
+            new Vocabulary<>(EntryEvent.class, EntryGuard.class, EntryAction.class, EntryTimer.class, NoTag.class);
+
+    private final CoreSettings settings;
+    private final DirectoryRouter router;
+    private final Population<RequestId, EntryEvent, EntryData, EntryInput> requests;
+    private final EntryInput plain;
+
+    /**
+     * Makes a desk without requests.
+     *
+     * @param settings the node's settings
+     * @param router chooses where requests go
+     * @param listener is told of each transition
+     */
+    public EntryDesk(CoreSettings settings, DirectoryRouter router, TransitionListener listener) {
+        this.settings = Objects.requireNonNull(settings, "settings");
+        this.router = Objects.requireNonNull(router, "router");
+        this.plain = new EntryInput(router, null);
+        Chart<EntryEvent, EntryData, EntryInput> chart = ChartReader.bundled("entry", VOCABULARY);
+        this.requests = new Population<>(chart, event -> plain, listener);
+    }
+
+    /**
+     * Takes a request from its caller.
+     *
+     * @param id the request's identity
+     * @param request the request
+     * @param deadline the monotonic time at which the caller gives up, in nanoseconds
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void arrived(RequestId id, CallerRequest request, long deadline, long now, Effects effects) {
+        Optional<NotRunReason> fault = faultOf(request);
+        if (fault.isPresent()) {
+            effects.emit(new Effect.ReplyToCaller(id, new RequestOutcome.NotRun(fault.get())));
+            return;
+        }
+        EntryData data = new EntryData(id, request, deadline, MemberId.NONE, NotRunReason.NO_OWNER);
+        requests.begin(id, data, now);
+        requests.fire(id, EntryEvent.ROUTE, plain, now, effects);
+    }
+
+    private Optional<NotRunReason> faultOf(CallerRequest request) {
+        Optional<ServiceSettings> service = settings.serviceOf(request.service());
+        if (service.isEmpty()) {
+            return Optional.of(NotRunReason.UNKNOWN_SERVICE);
+        }
+        boolean keyMissing = service.get().keyed() && request.key().isEmpty();
+        return keyMissing ? Optional.of(NotRunReason.MISSING_KEY) : Optional.empty();
+    }
+
+    /**
+     * Takes the end of a request at the member that had it.
+     *
+     * @param from the member
+     * @param id the request's identity
+     * @param outcome how it ended
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void ended(MemberId from, RequestId id, RequestOutcome outcome, long now, Effects effects) {
+        if (has(id, from)) {
+            requests.fire(id, EntryEvent.ENDED, new EntryInput(router, outcome), now, effects);
+        }
+    }
+
+    private boolean has(RequestId id, MemberId member) {
+        var request = requests.find(id);
+        return request != null && request.data().at().equals(member);
+    }
+
+    /**
+     * Takes back a request that was certainly not sent.
+     *
+     * @param id the request's identity
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void notSent(RequestId id, long now, Effects effects) {
+        requests.fire(id, EntryEvent.NOT_SENT, plain, now, effects);
+    }
+
+    /**
+     * Ends or routes again the requests that a member had when the link to it broke.
+     *
+     * @param member the member
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void linkLost(MemberId member, long now, Effects effects) {
+        router.at(member).forEach(id -> requests.fire(id, EntryEvent.LINK_LOST, plain, now, effects));
+    }
+
+    /**
+     * Gives up a request whose caller is gone.
+     *
+     * @param id the request's identity
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void callerGone(RequestId id, long now, Effects effects) {
+        requests.fire(id, EntryEvent.CALLER_GONE, plain, now, effects);
+    }
+
+    /**
+     * Fires the timers that are due.
+     *
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void advance(long now, Effects effects) {
+        requests.advance(now, effects);
+    }
+
+    /**
+     * Returns when this desk has something to do next.
+     *
+     * @return the monotonic time, in nanoseconds
+     */
+    public long nextDue() {
+        return requests.nextDue();
+    }
+
+    /**
+     * Returns how many requests are under way.
+     *
+     * @return the number
+     */
+    public int open() {
+        return requests.size();
+    }
+}
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/EntryTimer.java
@@ -0,0 +1,32 @@
+package org.verbenamast.core.request;
+
+import org.verbenamast.core.chart.TimerRule;
+import org.verbenamast.core.node.Timing;
+
+/** The timers in the chart of a request at the member that took it from its caller. */
+public enum EntryTimer implements TimerRule<EntryEvent, EntryData> {
+    /** Waits until the caller gives up. */
+    DEADLINE {
+        @Override
+        public EntryEvent fires() {
+            return EntryEvent.DEADLINE_DUE;
+        }
+
+        @Override
+        public long delayNanos(EntryData data, long now) {
+            return Math.max(0, data.deadline() - now);
+        }
+    },
+    /** Waits before the request is routed again. */
+    REROUTE {
+        @Override
+        public EntryEvent fires() {
+            return EntryEvent.ROUTE;
+        }
+
+        @Override
+        public long delayNanos(EntryData data, long now) {
+            return Timing.nanos(Timing.DEFAULT.retryMillis());
+        }
+    }
+}
--- /dev/null
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/chart/ChartTest.java
@@ -0,0 +1,80 @@
+package org.verbenamast.core.chart;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.verbenamast.core.chart.file.ChartReader;
+import org.verbenamast.core.effect.Effect;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ChartTest {
+
+    private static final String DOOR = """
+            {"chart": "door", "about": "a door", "initial": "SHUT", "states": [
+              {"name": "SHUT", "about": "a", "starts": ["PATIENCE"], "on": [
+                {"event": "OPEN", "when": "ALLOWED", "to": "WIDE", "actions": ["COUNT", "REPORT"]},
+                {"event": "OPEN", "actions": ["COUNT"]},
+                {"event": "LATE", "to": "GONE"}]},
+              {"name": "WIDE", "about": "a", "tags": ["PASSABLE"], "cancels": ["PATIENCE"], "on": [
+                {"event": "CLOSE", "to": "SHUT"}]},
+              {"name": "GONE", "about": "a", "last": true}
+            ]}
+            """;
+
+    private final Chart<DoorChart.Event, Integer, Boolean> chart = ChartReader
+            .<DoorChart.Event, DoorChart.Condition, DoorChart.Step, DoorChart.Timer, DoorChart.Mark, Integer, Boolean>
+                    read("door", DOOR, DoorChart.VOCABULARY)
+            .get();
+    private final List<Effect> effects = new ArrayList<>();
+
+    @Test
+    void should_run_actions_in_order_when_the_guard_permits() {
+        Instance<Integer> wide = chart.fire(chart.begin(0, 0), DoorChart.Event.OPEN, true, 1, effects::add);
+        assertThat(wide.is(DoorChart.Mark.PASSABLE)).isTrue();
+        assertThat(wide.data()).isEqualTo(1);
+        assertThat(effects).containsExactly(new Effect.Stopped());
+    }
+
+    @Test
+    void should_take_the_next_transition_when_the_guard_does_not_permit() {
+        Instance<Integer> shut = chart.fire(chart.begin(0, 0), DoorChart.Event.OPEN, false, 1, effects::add);
+        assertThat(shut.state().name()).isEqualTo("SHUT");
+        assertThat(shut.data()).isEqualTo(1);
+    }
+
+    @Test
+    void should_change_nothing_when_the_state_does_not_take_the_event() {
+        Instance<Integer> shut = chart.begin(0, 0);
+        assertThat(chart.fire(shut, DoorChart.Event.CLOSE, true, 1, effects::add))
+                .isSameAs(shut);
+    }
+
+    @Test
+    void should_keep_the_timer_when_the_state_is_not_left() {
+        Instance<Integer> shut = chart.fire(chart.begin(0, 0), DoorChart.Event.OPEN, false, 5, effects::add);
+        assertThat(shut.deadlines().earliest()).isEqualTo(10);
+    }
+
+    @Test
+    void should_fire_the_timer_when_it_is_due() {
+        Population<String, DoorChart.Event, Integer, Boolean> doors =
+                new Population<>(chart, event -> false, TransitionListener.NONE);
+        doors.begin("front", 0, 0);
+        doors.advance(9, effects::add);
+        assertThat(doors.find("front")).isNotNull();
+        doors.advance(10, effects::add);
+        assertThat(doors.find("front")).as("a final state removes the instance").isNull();
+    }
+
+    @Test
+    void should_not_fire_the_timer_when_it_was_cancelled() {
+        Population<String, DoorChart.Event, Integer, Boolean> doors =
+                new Population<>(chart, event -> false, TransitionListener.NONE);
+        doors.begin("front", 0, 0);
+        doors.fire("front", DoorChart.Event.OPEN, true, 1, effects::add);
+        doors.advance(100, effects::add);
+        assertThat(doors.find("front").is(DoorChart.Mark.PASSABLE)).isTrue();
+    }
+}
--- /dev/null
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/chart/DoorChart.java
@@ -0,0 +1,68 @@
+package org.verbenamast.core.chart;
+
+import org.verbenamast.core.effect.Effect;
+import org.verbenamast.core.effect.Effects;
+
+/** A small vocabulary for tests of the interpreter and of the load-time checks. */
+public final class DoorChart {
+
+    /** The names that test charts may use. */
+    public static final Vocabulary<Event, Condition, Step, Timer, Mark> VOCABULARY =
+            new Vocabulary<>(Event.class, Condition.class, Step.class, Timer.class, Mark.class);
+
+    private DoorChart() {}
+
+    /** The events. */
+    public enum Event {
+        OPEN,
+        CLOSE,
+        LATE
+    }
+
+    /** The conditions. */
+    public enum Condition implements Guard<Integer, Boolean> {
+        ALLOWED {
+            @Override
+            public boolean permits(Integer data, Boolean input, long now) {
+                return input;
+            }
+        }
+    }
+
+    /** The steps. */
+    public enum Step implements Action<Integer, Boolean> {
+        COUNT {
+            @Override
+            public Integer apply(Integer data, Boolean input, long now, Effects effects) {
+                return data + 1;
+            }
+        },
+        REPORT {
+            @Override
+            public Integer apply(Integer data, Boolean input, long now, Effects effects) {
+                effects.emit(new Effect.Stopped());
+                return data;
+            }
+        }
+    }
+
+    /** The timers. */
+    public enum Timer implements TimerRule<Event, Integer> {
+        PATIENCE {
+            @Override
+            public Event fires() {
+                return Event.LATE;
+            }
+
+            @Override
+            public long delayNanos(Integer data, long now) {
+                return 10;
+            }
+        }
+    }
+
+    /** The marks. */
+    public enum Mark {
+        PASSABLE
+    }
+}
