Node: the whole path from a caller to the owner's backend server

Cause: the path has to stand, thin, before anything grows in it. Found on the way: ActiveJ's client asks its resolver for IP numbers too, so the resolver answers them itself; a write that ends at once fired its event inside the transition that started it and was lost, so links queue such events.

--- /dev/null
+++ b/verbenamast-http/src/main/java/org/verbenamast/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP clients that speak to IP numbers. */
+package org.verbenamast.http;
--- /dev/null
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/peer/PeerLinks.java
@@ -0,0 +1,165 @@
+package org.verbenamast.node.peer;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.reactor.net.SocketSettings;
+import org.verbenamast.core.chart.Chart;
+import org.verbenamast.core.chart.Deadlines;
+import org.verbenamast.core.chart.NoTag;
+import org.verbenamast.core.chart.Population;
+import org.verbenamast.core.chart.TransitionListener;
+import org.verbenamast.core.chart.Vocabulary;
+import org.verbenamast.core.chart.file.ChartReader;
+import org.verbenamast.core.message.PeerMessage;
+import org.verbenamast.core.model.Address;
+import org.verbenamast.core.model.MemberId;
+import org.verbenamast.core.node.NodeInput;
+import org.verbenamast.node.loop.NodeLoop;
+
+/** The links on which this node sends to other members. */
+public final class PeerLinks implements AutoCloseable {
+
+    /** The names that the chart file may use. */
+    public static final Vocabulary<LinkEvent, LinkGuard, LinkAction, LinkTimer, NoTag> VOCABULARY =
+            new Vocabulary<>(LinkEvent.class, LinkGuard.class, LinkAction.class, LinkTimer.class, NoTag.class);
+
+    private static final long CHECK_MILLIS = 50;
+
+    private final Eventloop eventloop;
+    private final MemberId self;
+    private final PeerObserver observer;
+    private final int maxFrameBytes;
+    private final SocketSettings socketSettings =
+            SocketSettings.builder().withTcpNoDelay(true).build();
+    private final Map<MemberId, PeerLink> links = new HashMap<>();
+    private final Population<MemberId, LinkEvent, LinkData, LinkInput> states;
+    private final Deque<Firing> pending = new ArrayDeque<>();
+    private boolean firing;
+    private boolean checkScheduled;
+
+    /**
+     * Makes links to nobody.
+     *
+     * @param eventloop the one event loop of the process
+     * @param self this member
+     * @param maxFrameBytes the longest frame, in bytes
+     * @param observer is told what happens to messages and links
+     */
+    public PeerLinks(Eventloop eventloop, MemberId self, int maxFrameBytes, PeerObserver observer) {
+        this.eventloop = Objects.requireNonNull(eventloop, "eventloop");
+        this.self = Objects.requireNonNull(self, "self");
+        this.maxFrameBytes = maxFrameBytes;
+        this.observer = Objects.requireNonNull(observer, "observer");
+        Chart<LinkEvent, LinkData, LinkInput> chart = ChartReader.bundled("link", VOCABULARY);
+        this.states = new Population<>(chart, event -> LinkInput.NONE, TransitionListener.NONE);
+    }
+
+    /**
+     * Sends a message.
+     *
+     * @param to the receiver
+     * @param address where the receiver listens
+     * @param message the message
+     */
+    public void send(MemberId to, Address address, PeerMessage message) {
+        if (states.find(to) == null) {
+            PeerLink link = new PeerLink(to, address, this, maxFrameBytes);
+            links.put(to, link);
+            states.begin(to, new LinkData(link), NodeLoop.now());
+        }
+        fire(to, LinkEvent.SEND, new LinkInput(message, null));
+    }
+
+    /**
+     * Closes the link to a member that is gone for good.
+     *
+     * @param member the member
+     */
+    public void forget(MemberId member) {
+        fire(member, LinkEvent.CLOSE, LinkInput.NONE);
+        PeerLink link = links.remove(member);
+        if (link != null) {
+            link.release();
+        }
+    }
+
+    /** Fires an event; one that an action causes is fired after the action's own transition. */
+    void fire(MemberId member, LinkEvent event, LinkInput input) {
+        pending.add(new Firing(member, event, input));
+        if (firing) {
+            return;
+        }
+        firing = true;
+        try {
+            for (Firing next = pending.poll(); next != null; next = pending.poll()) {
+                states.fire(next.member(), next.event(), next.input(), NodeLoop.now(), effect -> {});
+            }
+        } finally {
+            firing = false;
+        }
+        scheduleCheck();
+    }
+
+    private record Firing(MemberId member, LinkEvent event, LinkInput input) {}
+
+    private void scheduleCheck() {
+        if (!checkScheduled && states.nextDue() != Deadlines.NOT_ARMED) {
+            checkScheduled = true;
+            eventloop.delayBackground(CHECK_MILLIS, this::advance);
+        }
+    }
+
+    private void advance() {
+        checkScheduled = false;
+        states.advance(NodeLoop.now(), effect -> {});
+        scheduleCheck();
+    }
+
+    Eventloop reactor() {
+        return eventloop;
+    }
+
+    SocketSettings socketSettings() {
+        return socketSettings;
+    }
+
+    MemberId self() {
+        return self;
+    }
+
+    void countSent(int bytes) {
+        observer.sent(bytes);
+    }
+
+    void reportNotSent(MemberId to, PeerMessage message) {
+        eventloop.post(() -> observer.happened(new NodeInput.PeerNotSent(to, message)));
+    }
+
+    void reportLost(MemberId member) {
+        eventloop.post(() -> observer.happened(new NodeInput.PeerLinkLost(member)));
+    }
+
+    /**
+     * Makes the address of a socket.
+     *
+     * @param address an IP number and port
+     * @return the address of the socket
+     */
+    public static InetSocketAddress socketAddress(Address address) {
+        return new InetSocketAddress(address.host(), address.port());
+    }
+
+    @Override
+    public void close() {
+        for (MemberId member : List.copyOf(links.keySet())) {
+            forget(member);
+        }
+    }
+}
--- /dev/null
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/peer/PeerServer.java
@@ -0,0 +1,106 @@
+package org.verbenamast.node.peer;
+
+import java.io.IOException;
+import java.util.HashSet;
+import java.util.Objects;
+import java.util.Set;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.eventloop.Eventloop;
+import io.activej.net.SimpleServer;
+import io.activej.net.socket.tcp.ITcpSocket;
+import org.verbenamast.core.model.Address;
+import org.verbenamast.core.node.NodeInput;
+import org.verbenamast.wire.FrameCodec;
+import org.verbenamast.wire.PeerCodec;
+import org.verbenamast.wire.WireException;
+import org.verbenamast.wire.generated.Envelope;
+
+/** Takes messages from other members. */
+public final class PeerServer implements AutoCloseable {
+
+    private final SimpleServer server;
+    private final PeerObserver observer;
+    private final int maxFrameBytes;
+    private final Set<ITcpSocket> sockets = new HashSet<>();
+
+    /**
+     * Makes a server that does not listen yet.
+     *
+     * @param eventloop the one event loop of the process
+     * @param address where to listen
+     * @param maxFrameBytes the longest frame that is read, in bytes
+     * @param observer takes the messages
+     */
+    public PeerServer(Eventloop eventloop, Address address, int maxFrameBytes, PeerObserver observer) {
+        this.observer = Objects.requireNonNull(observer, "observer");
+        this.maxFrameBytes = maxFrameBytes;
+        this.server = SimpleServer.builder(eventloop, this::accepted)
+                .withListenAddress(PeerLinks.socketAddress(address))
+                .build();
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @throws IOException where the address can't be used
+     */
+    public void listen() throws IOException {
+        server.listen();
+    }
+
+    private void accepted(ITcpSocket socket) {
+        sockets.add(socket);
+        readOn(socket, new FrameCodec(maxFrameBytes));
+    }
+
+    private void readOn(ITcpSocket socket, FrameCodec codec) {
+        socket.read()
+                .whenResult(buf -> {
+                    if (buf != null && take(buf, codec)) {
+                        readOn(socket, codec);
+                    } else {
+                        end(socket, codec);
+                    }
+                })
+                .whenException(e -> end(socket, codec));
+    }
+
+    private void end(ITcpSocket socket, FrameCodec codec) {
+        sockets.remove(socket);
+        socket.close();
+        codec.close();
+    }
+
+    /** Reads all whole messages and tells whether the link may be read on. */
+    private boolean take(ByteBuf buf, FrameCodec codec) {
+        observer.received(buf.readRemaining());
+        try {
+            codec.received(buf.array(), buf.head(), buf.readRemaining());
+        } catch (WireException e) {
+            observer.refused(e.fault(), e.getMessage());
+            return false;
+        } finally {
+            buf.recycle();
+        }
+        for (Envelope envelope = codec.next(); envelope != null; envelope = codec.next()) {
+            take(envelope);
+        }
+        return true;
+    }
+
+    private void take(Envelope envelope) {
+        try {
+            PeerCodec.Received received = PeerCodec.decode(envelope);
+            observer.happened(new NodeInput.PeerReceived(received.from(), received.message()));
+        } catch (WireException e) {
+            observer.refused(e.fault(), e.getMessage());
+        }
+    }
+
+    @Override
+    public void close() {
+        server.close();
+        java.util.List.copyOf(sockets).forEach(ITcpSocket::close);
+    }
+}
--- /dev/null
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerCodec.java
@@ -0,0 +1,91 @@
+package org.verbenamast.wire;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.verbenamast.core.message.PeerMessage;
+import org.verbenamast.core.model.MemberId;
+import org.verbenamast.wire.generated.Envelope;
+
+/** Maps messages between members to protobuf and back. */
+public final class PeerCodec {
+
+    private PeerCodec() {}
+
+    /**
+     * A message with its sender.
+     *
+     * @param from the sender
+     * @param message the message
+     */
+    public record Received(MemberId from, PeerMessage message) {}
+
+    /**
+     * Writes a message.
+     *
+     * @param from the sender
+     * @param message the message
+     * @return the protobuf message
+     */
+    public static Envelope encode(MemberId from, PeerMessage message) {
+        Envelope.Builder envelope = Envelope.newBuilder().setFrom(ModelCodec.encode(from));
+        message.deliver(new PeerEncoder(envelope), from, 0);
+        return envelope.build();
+    }
+
+    /**
+     * Reads a message.
+     *
+     * @param envelope the protobuf message
+     * @return the message with its sender
+     * @throws WireException where the kind is not known or a value is not allowed
+     */
+    public static Received decode(Envelope envelope) throws WireException {
+        if (!envelope.hasFrom()) {
+            throw WireException.shouldHaveSender();
+        }
+        try {
+            return new Received(ModelCodec.decode(envelope.getFrom()), decodeKind(envelope));
+        } catch (RuntimeException e) {
+            throw WireException.shouldHoldValidValues(e);
+        }
+    }
+
+    private static PeerMessage decodeKind(Envelope envelope) throws WireException {
+        return switch (envelope.getKindCase()) {
+            case FORWARD -> RequestCodec.decode(envelope.getForward());
+            case ENDED -> RequestCodec.decode(envelope.getEnded());
+            case CANCEL ->
+                new PeerMessage.Cancel(ModelCodec.decode(envelope.getCancel().getId()));
+            case VOUCH ->
+                new PeerMessage.Vouch(
+                        ModelCodec.decode(envelope.getVouch().getVoucher()),
+                        envelope.getVouch().getSentAt());
+            case VOUCH_REPLY ->
+                new PeerMessage.VouchReply(
+                        envelope.getVouchReply().getSentAt(),
+                        envelope.getVouchReply().getGranted());
+            case SEAL ->
+                new PeerMessage.Seal(
+                        ModelCodec.decode(envelope.getSeal().getVoucher()),
+                        ModelCodec.decode(envelope.getSeal().getHolder()));
+            case SEAL_REPLY ->
+                new PeerMessage.SealReply(
+                        ModelCodec.decode(envelope.getSealReply().getHolder()),
+                        envelope.getSealReply().getSealed(),
+                        envelope.getSealReply().getRemainingNanos());
+            case ROW_PUSH -> RowCodec.decode(envelope.getRowPush());
+            case DIGEST_OFFER ->
+                new PeerMessage.DigestOffer(envelope.getDigestOffer().getBucketsList());
+            case BUCKET_VERSIONS -> RowCodec.decode(envelope.getBucketVersions());
+            case ROW_REQUEST -> RowCodec.decode(envelope.getRowRequest());
+            case KIND_NOT_SET -> throw WireException.shouldHaveKnownKind();
+        };
+    }
+
+    static <A, B> List<B> map(List<A> items, java.util.function.Function<A, B> mapper) {
+        List<B> mapped = new ArrayList<>(items.size());
+        items.forEach(item -> mapped.add(mapper.apply(item)));
+        return mapped;
+    }
+}
