--- /dev/null
+++ b/verbenamast-standins/src/main/java/org/verbenamast/standins/package-info.java
@@ -0,0 +1,2 @@
+/** Part of verbenamast. */
+package org.verbenamast.standins;
--- /dev/null
+++ b/verbenamast-standins/src/main/java/org/verbenamast/standins/server/Run.java
@@ -0,0 +1,27 @@
+package org.verbenamast.standins.server;
+
+/**
+ * One request that reached a backend server, for a checker to read afterwards.
+ *
+ * @param request the request's identity
+ * @param key the key, or an empty text
+ * @param slice the slice's number, or -1
+ * @param epoch the epoch that the request carried
+ * @param method the method
+ * @param path the path
+ * @param idempotencyKey the caller's key for resends, or an empty text
+ * @param startMicros when it started, on the clock that all processes of the machine share, in microseconds
+ * @param atOnce how many requests ran at once, this one included
+ * @param kind how the backend server took it: {@code ran}, {@code fenced}, {@code shed} or {@code drained}
+ */
+record Run(
+        String request,
+        String key,
+        int slice,
+        long epoch,
+        String method,
+        String path,
+        String idempotencyKey,
+        long startMicros,
+        int atOnce,
+        String kind) {}
