--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/BoundedFrameDecoder.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/BoundedFrameDecoder.java
@@ -41,6 +41,7 @@
             }
         }
         if (readable == MAX_PREFIX_BYTES) {
+            in.skipBytes(in.readableBytes());
             throw new CorruptedFrameException("length prefix longer than " + MAX_PREFIX_BYTES + " bytes");
         }
         return 0;
