Node: answers under way reach their callers before the process exits; a readiness answer

Cause: on Stopped the loop was broken at once, right behind the last answer's effect, before its bytes were written. Change: the caller front closes first and lets connections with an answer under way finish; GET /v1/ready tells whoever chooses among nodes that this one takes no new work. Left: a node that is the only member of its service waits for ever for somebody to take its slices; the leaving rules are being written with the membership work.

--- a/verbenamast-node/src/main/java/org/verbenamast/node/NodeProcess.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/NodeProcess.java
@@ -101,7 +101,7 @@
     }
 
     private void stopped() {
-        eventloop.post(eventloop::breakEventloop);
+        eventloop.post(() -> callers.finish().whenComplete(eventloop::breakEventloop));
     }
 
     @Override
--- a/verbenamast-node/src/main/java/org/verbenamast/node/caller/CallerFront.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/caller/CallerFront.java
@@ -128,6 +128,15 @@
         caller.answer().trySet(CallerResponses.of(reply.outcome()));
     }
 
+    /**
+     * Takes no new connections and lets the answers under way reach their callers.
+     *
+     * @return completes when no caller is left
+     */
+    public Promise<?> finish() {
+        return server.close();
+    }
+
     @Override
     public void close() {
         server.close();
--- a/verbenamast-node/src/main/java/org/verbenamast/node/operator/OperatorFront.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/operator/OperatorFront.java
@@ -11,6 +11,7 @@
 import io.activej.http.HttpServer;
 import io.activej.http.RoutingServlet;
 import io.activej.promise.Promise;
+import org.verbenamast.core.membership.MemberTag;
 import org.verbenamast.core.model.Address;
 import org.verbenamast.core.node.NodeCore;
 import org.verbenamast.core.node.NodeInput;
@@ -22,7 +23,9 @@
 public final class OperatorFront implements AutoCloseable {
 
     private static final int MAX_BODY_BYTES = 64 * 1024;
+    private static final int OK = 200;
     private static final int BAD_REQUEST = 400;
+    private static final int UNAVAILABLE = 503;
 
     private final NodeCore core;
     private final NodeLoop loop;
@@ -44,6 +47,7 @@
         this.metrics = Objects.requireNonNull(metrics, "metrics");
         RoutingServlet routes = RoutingServlet.builder(eventloop)
                 .with(HttpMethod.GET, "/metrics", request -> metrics())
+                .with(HttpMethod.GET, "/v1/ready", request -> ready())
                 .with(HttpMethod.GET, "/v1/status", request -> json(StatusJson.status(this.core)))
                 .with(HttpMethod.GET, "/v1/owners", request -> json(StatusJson.owners(this.core)))
                 .with(HttpMethod.GET, "/v1/decisions", request -> json(StatusJson.decisions(this.core, request)))
@@ -64,6 +68,11 @@
         server.listen();
     }
 
+    private Promise<HttpResponse> ready() {
+        boolean ready = core.member().is(MemberTag.JOINED) && !core.member().is(MemberTag.STOPPING);
+        return HttpResponse.ofCode(ready ? OK : UNAVAILABLE).toPromise();
+    }
+
     private Promise<HttpResponse> metrics() throws IOException {
         return HttpResponse.ok200()
                 .withHeader(HttpHeaders.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8")
