--- a/verbenamast-it/src/main/java/org/verbenamast/it/DemoMain.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/DemoMain.java
@@ -9,9 +9,11 @@
 import org.verbenamast.it.deploy.DeploymentPlan;
 import org.verbenamast.it.deploy.Http;
 import org.verbenamast.it.deploy.Wiring;
+import org.verbenamast.load.LoadFigures;
 import org.verbenamast.load.LoadPlan;
 import org.verbenamast.load.LoadReport;
 import org.verbenamast.load.LoadRunner;
+import org.verbenamast.load.TargetKind;
 
 /** Runs a deployment whole on one machine, sends it a short load and prints a summary. */
 public final class DemoMain {
@@ -22,6 +24,8 @@
     private static final int KEYS = 10_000;
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
+    private static final double MICROS_PER_MILLI = 1_000.0;
+
     private DemoMain() {}
 
     /**
@@ -77,15 +81,23 @@
         List<String> paths = plan.services().stream()
                 .map(service -> "/" + service.name() + "/items/%d")
                 .toList();
-        LoadReport report = LoadRunner.run(new LoadPlan(targets, paths, RATE, SECONDS, KEYS, 1));
+        LoadPlan load = new LoadPlan(targets, TargetKind.NODE, paths, RATE, SECONDS, KEYS, 1);
+        print("load on cold processes", LoadRunner.run(load));
+        print("load after warm-up", LoadRunner.run(load));
+    }
+
+    private static void print(String title, LoadReport report) {
+        LoadFigures all = report.all();
+        System.out.printf(
+                "%s: %d sent, %d answered, %d not run, %d unknown, %d failed%n",
+                title, all.sent(), all.answered(), all.notRun(), all.unknown(), all.failed());
+        report.services().forEach(DemoMain::printLatency);
+        printLatency(all);
+    }
+
+    private static void printLatency(LoadFigures figures) {
         System.out.printf(
-                "load: %d sent, %d answered, %d not run, %d unknown, %d failed; p50 %.1f ms, p99 %.1f ms%n",
-                report.sent(),
-                report.answered(),
-                report.notRun(),
-                report.unknown(),
-                report.failed(),
-                report.p50Micros() / 1_000.0,
-                report.p99Micros() / 1_000.0);
+                "  %-10s p50 %.1f ms, p99 %.1f ms%n",
+                figures.name(), figures.p50Micros() / MICROS_PER_MILLI, figures.p99Micros() / MICROS_PER_MILLI);
     }
 }
--- a/verbenamast-load/src/main/java/org/verbenamast/load/Comparison.java
+++ b/verbenamast-load/src/main/java/org/verbenamast/load/Comparison.java
@@ -6,7 +6,18 @@
     private Comparison() {}
 
     static String of(LoadReport first, LoadReport second) {
-        StringBuilder text = new StringBuilder("%-12s %12s %12s %8s%n".formatted("", "first", "second", "ratio"));
+        StringBuilder text = new StringBuilder(of(first.all(), second.all()));
+        for (LoadFigures figures : first.services()) {
+            second.services().stream()
+                    .filter(other -> other.name().equals(figures.name()))
+                    .forEach(other -> text.append(of(figures, other)));
+        }
+        return text.toString();
+    }
+
+    private static String of(LoadFigures first, LoadFigures second) {
+        StringBuilder text =
+                new StringBuilder("%-12s %12s %12s %8s%n".formatted(first.name(), "first", "second", "ratio"));
         row(text, "sent", first.sent(), second.sent());
         row(text, "answered", first.answered(), second.answered());
         row(text, "not run", first.notRun(), second.notRun());
--- a/verbenamast-load/src/main/java/org/verbenamast/load/LoadMain.java
+++ b/verbenamast-load/src/main/java/org/verbenamast/load/LoadMain.java
@@ -65,6 +65,7 @@
     private static void send(LoadOptions options, PrintStream out) throws IOException {
         LoadPlan plan = new LoadPlan(
                 options.targets().stream().map(Address::parse).toList(),
+                options.kind(),
                 options.paths(),
                 options.rate(),
                 options.seconds(),
--- a/verbenamast-load/src/main/java/org/verbenamast/load/LoadOptions.java
+++ b/verbenamast-load/src/main/java/org/verbenamast/load/LoadOptions.java
@@ -11,6 +11,9 @@
     @Parameter(names = "--target", description = "where a node listens for callers, as IP:PORT; may be given often")
     private List<String> targets = new ArrayList<>();
 
+    @Parameter(names = "--kind", description = "what the targets are: NODE, or SERVER for backend servers")
+    private TargetKind kind = TargetKind.NODE;
+
     @Parameter(names = "--path", description = "a path to ask for; %d stands for a random key; may be given often")
     private List<String> paths = new ArrayList<>();
 
@@ -42,6 +45,10 @@
         return targets;
     }
 
+    TargetKind kind() {
+        return kind;
+    }
+
     List<String> paths() {
         return paths;
     }
--- a/verbenamast-load/src/main/java/org/verbenamast/load/LoadReport.java
+++ b/verbenamast-load/src/main/java/org/verbenamast/load/LoadReport.java
@@ -1,26 +1,19 @@
 package org.verbenamast.load;
 
+import java.util.List;
+import java.util.Objects;
+
 /**
- * What came of a load. Latencies count from the moment at which a request was due, so that a slow answer does not hide
- * the wait of those behind it.
+ * What came of a load.
  *
- * @param sent requests sent
- * @param answered requests that a backend server answered
- * @param notRun requests refused as not run
- * @param unknown requests whose outcome is unknown
- * @param failed requests without a usable reply
- * @param p50Micros the median latency of answered requests, in microseconds
- * @param p99Micros the 99th percentile, in microseconds
- * @param p999Micros the 99.9th percentile, in microseconds
- * @param maxMicros the longest latency, in microseconds
+ * @param all the figures of the whole load
+ * @param services the figures of each service
  */
-public record LoadReport(
-        long sent,
-        long answered,
-        long notRun,
-        long unknown,
-        long failed,
-        long p50Micros,
-        long p99Micros,
-        long p999Micros,
-        long maxMicros) {}
+public record LoadReport(LoadFigures all, List<LoadFigures> services) {
+
+    /** Checks the figures and copies the list. */
+    public LoadReport {
+        Objects.requireNonNull(all, "all");
+        services = List.copyOf(services);
+    }
+}
--- a/verbenamast-load/src/main/java/org/verbenamast/load/LoadRunner.java
+++ b/verbenamast-load/src/main/java/org/verbenamast/load/LoadRunner.java
@@ -1,41 +1,40 @@
 package org.verbenamast.load;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Random;
+import java.util.TreeMap;
 
 import io.activej.eventloop.Eventloop;
 import io.activej.http.HttpClient;
+import io.activej.http.HttpHeader;
 import io.activej.http.HttpHeaders;
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
-import org.HdrHistogram.Histogram;
 import org.verbenamast.core.model.Address;
 import org.verbenamast.http.HttpClients;
 
 /** Sends requests at a fixed rate, whether or not earlier ones are answered, and measures them. */
 public final class LoadRunner {
 
+    private static final HttpHeader KEY = HttpHeaders.of("Verbenamast-Key");
+    private static final HttpHeader OUTCOME = HttpHeaders.of("Verbenamast-Outcome");
     private static final long NANOS_PER_SECOND = 1_000_000_000L;
-    private static final long NANOS_PER_MICRO = 1_000L;
     private static final long MILLIS_AFTER_LAST = 6_000;
     private static final int MAX_BODY_BYTES = 64 << 20;
-    private static final int DIGITS = 3;
-    private static final double P50 = 50;
-    private static final double P99 = 99;
-    private static final double P999 = 99.9;
+    private static final int NO_STATUS = 0;
 
     private final LoadPlan plan;
     private final Random random;
-    private final Histogram latencies = new Histogram(DIGITS);
+    private final Map<String, LoadTally> services = new TreeMap<>();
+    private final LoadTally all = new LoadTally();
     private final Eventloop eventloop;
     private final HttpClient http;
     private long startNanos;
     private long sent;
     private long ended;
-    private long answered;
-    private long notRun;
-    private long unknown;
-    private long failed;
 
     private LoadRunner(LoadPlan plan) {
         this.plan = plan;
@@ -58,24 +57,16 @@
         startNanos = System.nanoTime();
         eventloop.post(this::sendDue);
         eventloop.run();
-        return new LoadReport(
-                sent,
-                answered,
-                notRun,
-                unknown,
-                failed + sent - ended,
-                latencies.getValueAtPercentile(P50),
-                latencies.getValueAtPercentile(P99),
-                latencies.getValueAtPercentile(P999),
-                latencies.getMaxValue());
+        List<LoadFigures> figures = new ArrayList<>();
+        services.forEach((name, tally) -> figures.add(tally.figures(name)));
+        return new LoadReport(all.figures("all"), figures);
     }
 
     private void sendDue() {
-        long total = (long) plan.rate() * plan.seconds();
-        while (sent < total && dueOf(sent) <= System.nanoTime()) {
+        while (sent < plan.requests() && dueOf(sent) <= System.nanoTime()) {
             send(dueOf(sent));
         }
-        if (sent < total) {
+        if (sent < plan.requests()) {
             eventloop.delay(1, this::sendDue);
         } else {
             eventloop.delayBackground(MILLIS_AFTER_LAST, eventloop::breakEventloop);
@@ -91,35 +82,37 @@
         Address target = plan.targets().get((int) (sent % plan.targets().size()));
         String path = plan.paths().get(random.nextInt(plan.paths().size()));
         int key = random.nextInt(plan.keys());
+        LoadTally service = services.computeIfAbsent(serviceOf(path), name -> new LoadTally());
         sent++;
+        all.sent();
+        service.sent();
         HttpRequest request = HttpRequest.get("http://" + target + path.replace("%d", Integer.toString(key)))
-                .withHeader(HttpHeaders.of("Verbenamast-Key"), "key-" + key)
+                .withHeader(KEY, "key-" + key)
                 .build();
         http.request(request)
-                .then(response -> response.loadBody().map(body -> {
-                    body.recycle();
-                    return response;
-                }))
-                .whenComplete((response, e) -> ended(due, response, e));
+                .then(response -> response.loadBody().map(body -> response))
+                .whenComplete((response, e) -> ended(service, due, e == null ? response : null));
     }
 
-    private void ended(long due, HttpResponse response, Exception e) {
+    private static String serviceOf(String path) {
+        int end = path.indexOf('/', 1);
+        return end < 0 ? path.substring(1) : path.substring(1, end);
+    }
+
+    private void ended(LoadTally service, long due, HttpResponse response) {
+        long nanos = System.nanoTime() - due;
+        String header = response == null ? null : response.getHeader(OUTCOME);
+        int status = response == null ? NO_STATUS : response.getCode();
+        LoadOutcome outcome =
+                response == null ? LoadOutcome.FAILED : plan.kind().outcome(status, header);
+        all.ended(outcome, nanos);
+        service.ended(outcome, nanos);
         ended++;
-        String outcome = e == null ? response.getHeader(HttpHeaders.of("Verbenamast-Outcome")) : null;
-        switch (String.valueOf(outcome)) {
-            case "answered" -> {
-                answered++;
-                latencies.recordValue(Math.max(0, System.nanoTime() - due) / NANOS_PER_MICRO);
-            }
-            case "not-run" -> notRun++;
-            case "unknown" -> unknown++;
-            default -> failed++;
-        }
         finishIfDone();
     }
 
     private void finishIfDone() {
-        if (ended == (long) plan.rate() * plan.seconds()) {
+        if (ended == plan.requests()) {
             eventloop.post(eventloop::breakEventloop);
         }
     }
