--- a/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Deployment.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Deployment.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import com.fasterxml.jackson.databind.JsonNode;
 
@@ -40,7 +41,7 @@
      * @throws IOException where a process can't be started
      */
     public static Deployment start(DeploymentPlan plan, Wiring wiring, Path root) throws IOException {
-        Path folder = Files.createTempDirectory("verbenamast-" + plan.name());
+        Path folder = emptyFolder(root, plan.name());
         Deployment deployment = new Deployment(plan, wiring, root, folder);
         try {
             deployment.startAll();
@@ -51,6 +52,18 @@
         }
     }
 
+    private static Path emptyFolder(Path root, String name) throws IOException {
+        Path target =
+                root.toAbsolutePath().normalize().resolve("verbenamast-it").resolve("target");
+        Path folder = Files.createDirectories(target.resolve("deployments").resolve(name));
+        try (Stream<Path> before = Files.list(folder)) {
+            for (Path file : before.toList()) {
+                Files.delete(file);
+            }
+        }
+        return folder;
+    }
+
     private void startAll() throws IOException {
         run("platform", programs.standin("platform", List.of("platform", "--listen", plan.platform())));
         if (wiring == Wiring.PROXIED) {
--- a/verbenamast-node/src/main/java/org/verbenamast/node/caller/CallerFront.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/caller/CallerFront.java
@@ -80,6 +80,9 @@
     }
 
     private Promise<HttpResponse> serve(HttpRequest http) {
+        if (Headers.announcedBytes(http) > settings.limits().maxBodyBytes()) {
+            return refuse(NotRunReason.BODY_TOO_LARGE);
+        }
         return http.loadBody(settings.limits().maxBodyBytes())
                 .then((body, e) -> e == null ? take(http, body) : refuse(NotRunReason.BODY_TOO_LARGE));
     }
--- a/verbenamast-node/src/main/java/org/verbenamast/node/http/Headers.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/http/Headers.java
@@ -87,4 +87,15 @@
         String value = message.getHeader(header);
         return value == null ? "" : value;
     }
+
+    /**
+     * Reads how long a message says its body is. The HTTP parser has refused a length that is not a number.
+     *
+     * @param message the message
+     * @return the length in bytes, or 0 where it is not said
+     */
+    public static long announcedBytes(HttpMessage message) {
+        String length = textOf(message, HttpHeaders.CONTENT_LENGTH);
+        return length.isEmpty() ? 0 : Long.parseLong(length);
+    }
 }
