Assignment by weight and measured heat; moves that end in bounded time

Cause: slices were shared by number alone, a review recomputed the plan ten times a second on every node, a drain could last for ever, and a slice whose hand-over write got no answer could be given back to requests while the write might still take effect.

Ruled out: full loads of all slices in gossip (27,200 numbers at 1,700 nodes); owners that act on their own view of others' loads (two views make two plans, and slices go back and forth); moving the hot slice itself when it is hotter than a whole share (it would only make the next member the hottest).

Change: the row of a chunk says how many ordinary slices each slice counts as (its heat), written by the owner only where its measured rate leaves the old value by half, above twice the fleet's mean; members' rates travel as one number in the digest offers. So all nodes with the same rows make the same plan, and compare-and-set decides between others. The plan moves a slice only where its new owner stays below the old one, the hottest first; a slice hotter than a share stays and the others leave. First claims and moves wait for 1 s without members coming and going, at most 5 s; take-overs don't. Chart "slice": drains end after 2 s (the longest request when the node leaves) in RESTING, which serves; PASSING and DOUBTFUL tell a write under way from one whose effect is unknown; a target that is gone is replaced, or the slice stays. The next owner is sent the row first. The last member of a service gives its slices up when it leaves.

Moves under faults are not measured yet; that follows.

Conclusion: the plan is a function of rows alone, and each state of a move has a way out that never serves a slice whose passing may still take effect.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/assign/AssignmentPolicy.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/assign/AssignmentPolicy.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 
 import org.verbenamast.core.model.MemberId;
 
@@ -10,28 +11,42 @@
     /** Deals the slices out in turn, whoever owns them now. A baseline. */
     ROUND_ROBIN {
         @Override
-        public List<MemberId> targets(List<MemberId> owners, List<Candidate> candidates) {
+        public List<MemberId> targets(AssignmentProblem problem) {
+            List<Candidate> candidates = problem.candidates();
             List<MemberId> targets = new ArrayList<>();
-            for (int slice = 0; slice < owners.size(); slice++) {
+            for (int slice = 0; slice < problem.owners().size(); slice++) {
                 targets.add(candidates.get(slice % candidates.size()).member());
             }
             return targets;
         }
     },
-    /** Gives each candidate its share by weight and moves as few slices as that needs. */
+    /** Gives a slice whose owner is gone to any candidate and leaves the others where they are. A baseline. */
+    RANDOM {
+        @Override
+        public List<MemberId> targets(AssignmentProblem problem) {
+            Random random = new Random(problem.owners().hashCode());
+            List<MemberId> members =
+                    problem.candidates().stream().map(Candidate::member).toList();
+            List<MemberId> targets = new ArrayList<>();
+            for (MemberId owner : problem.owners()) {
+                targets.add(members.contains(owner) ? owner : members.get(random.nextInt(members.size())));
+            }
+            return targets;
+        }
+    },
+    /** Gives each candidate its share by weight and heat, and moves as few slices as that needs. */
     BALANCED {
         @Override
-        public List<MemberId> targets(List<MemberId> owners, List<Candidate> candidates) {
-            return new BalancedPlan(owners, candidates).targets();
+        public List<MemberId> targets(AssignmentProblem problem) {
+            return new BalancedPlan(problem).targets();
         }
     };
 
     /**
-     * Chooses an owner for each slice. The same arguments always give the same result.
+     * Chooses an owner for each slice. The same problem always has the same result.
      *
-     * @param owners the present owner of each slice, by slice number; {@link MemberId#NONE} for a vacant one
-     * @param candidates the members that may own slices, in the order of their ids; at least one
+     * @param problem the slices and the candidates
      * @return the owner that each slice should have, by slice number
      */
-    public abstract List<MemberId> targets(List<MemberId> owners, List<Candidate> candidates);
+    public abstract List<MemberId> targets(AssignmentProblem problem);
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/check/Checks.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/check/Checks.java
@@ -56,6 +56,21 @@
         return value;
     }
 
+    /**
+     * Checks that a number is finite and zero or above.
+     *
+     * @param name the argument's name
+     * @param value the number
+     * @return the number
+     * @throws InvalidValueException where it is not
+     */
+    public static double finiteNotNegative(String name, double value) {
+        if (!Double.isFinite(value) || value < 0) {
+            throw InvalidValueException.shouldBeFiniteAndNotNegative(name, value);
+        }
+        return value;
+    }
+
     /**
      * Checks that a number is in a closed range.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/check/InvalidValueException.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/check/InvalidValueException.java
@@ -19,6 +19,10 @@
         return new InvalidValueException("%s should not be negative but was <%d>".formatted(name, value));
     }
 
+    static InvalidValueException shouldBeFiniteAndNotNegative(String name, double value) {
+        return new InvalidValueException("%s should be finite and not negative but was <%s>".formatted(name, value));
+    }
+
     static InvalidValueException shouldBeWithin(String name, long value, long min, long max) {
         return new InvalidValueException(
                 "%s should be between <%d> and <%d> but was <%d>".formatted(name, min, max, value));
--- a/verbenamast-core/src/main/java/org/verbenamast/core/membership/Directory.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/membership/Directory.java
@@ -290,6 +290,30 @@
         return grants;
     }
 
+    /**
+     * Lists the heats of all slices of a service.
+     *
+     * @param service the service's settings
+     * @return how many ordinary slices each slice counts as, by slice number
+     */
+    public List<Integer> heats(ServiceSettings service) {
+        List<Integer> heats = new ArrayList<>(service.slices());
+        for (int chunk = 0; chunk < service.chunks(); chunk++) {
+            heats.addAll(chunk(service, chunk).heats());
+        }
+        return heats;
+    }
+
+    /**
+     * Returns how many grants name a member.
+     *
+     * @param owner the member
+     * @return the number
+     */
+    public int granted(MemberId owner) {
+        return grantsOf.getOrDefault(owner, 0);
+    }
+
     /**
      * Tells whether a member's incarnation is known to have ended.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/membership/SpreadDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/membership/SpreadDesk.java
@@ -11,6 +11,7 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.LongToDoubleFunction;
 
 import org.verbenamast.core.chart.Deadlines;
 import org.verbenamast.core.effect.Effect;
@@ -41,6 +42,7 @@
 
     private final CoreSettings settings;
     private final Directory directory;
+    private final LongToDoubleFunction rate;
     private final Random random;
     private final PeerSample peers;
     private final Tombstones tombstones;
@@ -55,10 +57,12 @@
      *
      * @param settings the node's settings
      * @param directory the rows that the node knows
+     * @param rate tells at a monotonic time in nanoseconds how many requests a second this node's slices get
      */
-    public SpreadDesk(CoreSettings settings, Directory directory) {
+    public SpreadDesk(CoreSettings settings, Directory directory, LongToDoubleFunction rate) {
         this.settings = Objects.requireNonNull(settings, "settings");
         this.directory = Objects.requireNonNull(directory, "directory");
+        this.rate = Objects.requireNonNull(rate, "rate");
         this.random = new Random(settings.seed());
         this.peers = new PeerSample(directory, settings.self(), random);
         this.tombstones = new Tombstones(directory);
@@ -211,7 +215,7 @@
             requestedUntil.values().removeIf(until -> until <= now);
             tombstones.advance(now);
             PeerMessage offer =
-                    new PeerMessage.DigestOffer(List.of(directory.digest().total()));
+                    new PeerMessage.DigestOffer(List.of(directory.digest().total()), rate.applyAsDouble(now));
             peers.pick(1).forEach(peer -> send(peer, offer, effects));
         }
     }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/message/PeerMessage.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/message/PeerMessage.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 
+import org.verbenamast.core.check.Checks;
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.model.RequestId;
 import org.verbenamast.core.request.CallerRequest;
@@ -176,12 +177,23 @@
      * Offers a summary of the rows that the sender knows: one number per bucket of row keys.
      *
      * @param buckets the numbers; equal numbers mean equal rows
+     * @param rate how many requests a second the sender's slices get
      */
-    record DigestOffer(List<Long> buckets) implements PeerMessage {
+    record DigestOffer(List<Long> buckets, double rate) implements PeerMessage {
 
-        /** Copies the list. */
+        /** Copies the list and checks the rate. */
         public DigestOffer {
             buckets = List.copyOf(buckets);
+            Checks.finiteNotNegative("rate", rate);
+        }
+
+        /**
+         * Makes an offer of a sender whose slices get no requests.
+         *
+         * @param buckets the numbers; equal numbers mean equal rows
+         */
+        public DigestOffer(List<Long> buckets) {
+            this(buckets, 0);
         }
 
         @Override
--- a/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeCore.java
@@ -20,6 +20,7 @@
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.model.RequestId;
 import org.verbenamast.core.ownership.OwnershipDesk;
+import org.verbenamast.core.ownership.OwnershipRules;
 import org.verbenamast.core.request.DirectoryRouter;
 import org.verbenamast.core.request.EntryDesk;
 import org.verbenamast.core.store.Row;
@@ -62,10 +63,16 @@
         this.directory = new Directory(settings.services());
         this.store = new StoreDesk(Timing.nanos(settings.timing().storeTimeoutMillis()), decisions);
         this.member = new MemberDesk(settings, directory, store, this, decisions);
-        this.spread = new SpreadDesk(settings, directory);
         this.reading = new ReadingDesk(settings, directory, store, this, decisions);
-        this.ownership =
-                new OwnershipDesk(settings, directory, store, now -> member.is(MemberTag.JOINED), this, decisions);
+        this.ownership = new OwnershipDesk(
+                settings,
+                directory,
+                store,
+                OwnershipRules.DEFAULT,
+                now -> member.is(MemberTag.JOINED),
+                this,
+                decisions);
+        this.spread = new SpreadDesk(settings, directory, ownership::rate);
         this.entries = new EntryDesk(settings, new DirectoryRouter(settings, directory), decisions);
         this.serving = new ServeDesk(settings, member, ownership, decisions);
     }
@@ -283,6 +290,9 @@
 
     @Override
     public void onDigestOffer(MemberId from, PeerMessage.DigestOffer message, long now) {
+        if (message.buckets().size() == 1) {
+            ownership.heard(from, message.rate(), now);
+        }
         spread.offered(from, message, this::emit);
     }
 
--- a/verbenamast-core/src/main/java/org/verbenamast/core/ownership/ChunkRow.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/ownership/ChunkRow.java
@@ -1,6 +1,7 @@
 package org.verbenamast.core.ownership;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Objects;
 
@@ -17,18 +18,39 @@
  * @param service the service
  * @param chunk the group's number
  * @param grants who owns each slice, by its position in the group
+ * @param heats how many ordinary slices each slice counts as, by its position in the group; at least 1 each
  * @param operation the id of the operation that wrote the row
  */
-public record ChunkRow(ServiceName service, int chunk, List<SliceGrant> grants, String operation) implements RowValue {
+public record ChunkRow(ServiceName service, int chunk, List<SliceGrant> grants, List<Integer> heats, String operation)
+        implements RowValue {
 
-    /** Checks the parts and copies the list. */
+    /** Checks the parts and copies the lists. A row without heats has ordinary slices. */
     public ChunkRow {
         Objects.requireNonNull(service, "service");
         Checks.notNegative("chunk", chunk);
         grants = List.copyOf(grants);
+        heats = heats == null ? ordinary(grants.size()) : List.copyOf(heats);
+        Checks.within("heats", heats.size(), grants.size(), grants.size());
+        heats.forEach(heat -> Checks.positive("heat", heat));
         Objects.requireNonNull(operation, "operation");
     }
 
+    /**
+     * Makes a chunk of ordinary slices.
+     *
+     * @param service the service
+     * @param chunk the group's number
+     * @param grants who owns each slice, by its position in the group
+     * @param operation the id of the operation that wrote the row
+     */
+    public ChunkRow(ServiceName service, int chunk, List<SliceGrant> grants, String operation) {
+        this(service, chunk, grants, ordinary(grants.size()), operation);
+    }
+
+    private static List<Integer> ordinary(int slices) {
+        return Collections.nCopies(slices, 1);
+    }
+
     /**
      * Returns the key of a chunk's row.
      *
@@ -66,6 +88,20 @@
     public ChunkRow with(int position, SliceGrant grant, String writer) {
         List<SliceGrant> next = new ArrayList<>(grants);
         next.set(position, grant);
-        return new ChunkRow(service, chunk, next, writer);
+        return new ChunkRow(service, chunk, next, heats, writer);
+    }
+
+    /**
+     * Returns this chunk with one heat changed.
+     *
+     * @param position the slice's position in the chunk
+     * @param heat how many ordinary slices the slice counts as
+     * @param writer the id of the operation that writes it
+     * @return the changed chunk
+     */
+    public ChunkRow withHeat(int position, int heat, String writer) {
+        List<Integer> next = new ArrayList<>(heats);
+        next.set(position, heat);
+        return new ChunkRow(service, chunk, grants, next, writer);
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/ownership/OwnershipDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/ownership/OwnershipDesk.java
@@ -1,21 +1,25 @@
 package org.verbenamast.core.ownership;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
+import java.util.TreeSet;
 
-import org.verbenamast.core.assign.AssignmentPolicy;
-import org.verbenamast.core.assign.Candidate;
 import org.verbenamast.core.chart.Chart;
 import org.verbenamast.core.chart.Instance;
 import org.verbenamast.core.chart.Population;
 import org.verbenamast.core.chart.TransitionListener;
 import org.verbenamast.core.chart.Vocabulary;
 import org.verbenamast.core.chart.file.ChartReader;
+import org.verbenamast.core.effect.Effect;
 import org.verbenamast.core.effect.Effects;
 import org.verbenamast.core.membership.Directory;
+import org.verbenamast.core.membership.MemberRow;
+import org.verbenamast.core.message.PeerMessage;
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.model.ServiceSettings;
 import org.verbenamast.core.model.SliceId;
@@ -36,6 +40,9 @@
             new Vocabulary<>(SliceEvent.class, SliceGuard.class, SliceAction.class, SliceTimer.class, SliceTag.class);
 
     private static final int MAX_MOVES = 8;
+    private static final int MAX_MOVES_WHEN_LEAVING = 64;
+    private static final long DRAIN_MILLIS = 2_000;
+    private static final long HEAT_EVERY_MILLIS = 2_000;
 
     private final CoreSettings settings;
     private final ServiceSettings service;
@@ -44,9 +51,12 @@
     private final Lease lease;
     private final RowSink sink;
     private final Population<SliceId, SliceEvent, SliceData, SliceInput> slices;
+    private final TargetPlan plan;
+    private final SliceHeats heats;
     private final Set<Integer> busyChunks = new HashSet<>();
     private long operations;
     private long nextReview;
+    private long nextHeats;
 
     /**
      * Makes a desk that owns nothing.
@@ -54,6 +64,7 @@
      * @param settings the node's settings
      * @param directory the rows that the node knows
      * @param store the calls to the table service
+     * @param rules by what rules slices find their owners
      * @param lease tells whether the node may serve
      * @param sink takes the rows that this desk writes or learns
      * @param listener is told of each transition
@@ -62,6 +73,7 @@
             CoreSettings settings,
             Directory directory,
             StoreDesk store,
+            OwnershipRules rules,
             Lease lease,
             RowSink sink,
             TransitionListener listener) {
@@ -73,6 +85,8 @@
         this.sink = Objects.requireNonNull(sink, "sink");
         Chart<SliceEvent, SliceData, SliceInput> chart = ChartReader.bundled("slice", VOCABULARY);
         this.slices = new Population<>(chart, event -> SliceInput.NONE, listener);
+        this.plan = new TargetPlan(directory, service, rules, settings.self());
+        this.heats = new SliceHeats(directory::granted);
     }
 
     /**
@@ -106,6 +120,7 @@
      * @param effects the sink of the effects
      */
     public void started(SliceId slice, long now, Effects effects) {
+        heats.count(slice, now);
         slices.fire(slice, SliceEvent.STARTED, SliceInput.NONE, now, effects);
     }
 
@@ -129,6 +144,30 @@
         return slices.size();
     }
 
+    /**
+     * Returns how many requests a second the slices of this node get.
+     *
+     * @param now the monotonic time, in nanoseconds
+     * @return the rate
+     */
+    public double rate(long now) {
+        return heats.total(now);
+    }
+
+    /**
+     * Takes another member's report of the request rate of its slices.
+     *
+     * @param member the member
+     * @param rate the rate in requests a second
+     * @param now the monotonic time, in nanoseconds
+     */
+    public void heard(MemberId member, double rate, long now) {
+        MemberRow row = directory.member(member);
+        if (row != null && row.service().equals(service.name())) {
+            heats.heard(member, rate, now);
+        }
+    }
+
     /**
      * Brings the slices in line with a row that the directory has learnt.
      *
@@ -150,10 +189,12 @@
         Instance<SliceData> owned = slices.find(slice);
         if (owned != null && !owned.data().grant().equals(grant)) {
             slices.fire(slice, SliceEvent.PASSED_ON, SliceInput.NONE, now, effects);
+            heats.end(slice);
             owned = null;
         }
         if (owned == null && grant.owner().equals(settings.self())) {
-            slices.begin(slice, new SliceData(slice, grant, 0, MemberId.NONE, settleNanos(grant)), now);
+            slices.begin(slice, new SliceData(slice, grant, 0, SliceMove.NONE, settleNanos(grant)), now);
+            heats.begin(slice, now);
             slices.fire(slice, SliceEvent.GRANTED, SliceInput.NONE, now, effects);
         }
     }
@@ -190,90 +231,164 @@
     }
 
     private void review(long now, Effects effects) {
-        List<MemberId> targets = targets();
-        if (targets.isEmpty()) {
-            return;
+        plan.refresh(now);
+        boolean measure = now >= nextHeats;
+        if (measure) {
+            nextHeats = now + Timing.nanos(HEAT_EVERY_MILLIS);
         }
-        startMoves(targets, now, effects);
-        for (int chunk = 0; chunk < service.chunks(); chunk++) {
-            if (!busyChunks.contains(chunk)) {
-                write(chunk, targets, now, effects);
+        redirect(now, effects);
+        startMoves(now, effects);
+        Set<Integer> chunks = new TreeSet<>(plan.claimable());
+        slices.forEach((slice, owned) -> {
+            if (measure || owned.is(SliceTag.PASSABLE)) {
+                chunks.add(service.chunkOf(slice.number()));
             }
-        }
+        });
+        chunks.removeAll(busyChunks);
+        double mean = measure ? heats.mean(now) : 0;
+        chunks.forEach(chunk -> write(chunk, mean, now, effects));
     }
 
-    private List<MemberId> targets() {
-        List<Candidate> candidates = new ArrayList<>();
-        directory.activeMembers(service.name()).forEach(member -> candidates.add(new Candidate(member.id(), 1)));
-        if (candidates.isEmpty()) {
-            return List.of();
+    /** Gives the slices on their way another target, or none, where the target takes no slices any more. */
+    private void redirect(long now, Effects effects) {
+        List<SliceId> lost = new ArrayList<>();
+        slices.forEach((slice, owned) -> {
+            if (owned.is(SliceTag.RECALLABLE)
+                    && !takesSlices(owned.data().move().target())) {
+                lost.add(slice);
+            }
+        });
+        for (SliceId slice : lost) {
+            SliceInput move = moveOf(slice);
+            boolean stays = move.move().target().equals(settings.self());
+            slices.fire(slice, stays ? SliceEvent.STAY : SliceEvent.MOVE, move, now, effects);
         }
-        List<MemberId> owners = new ArrayList<>();
-        directory.grants(service).forEach(grant -> owners.add(grant.owner()));
-        return AssignmentPolicy.BALANCED.targets(owners, candidates);
     }
 
-    private void startMoves(List<MemberId> targets, long now, Effects effects) {
-        List<SliceId> leaving = new ArrayList<>();
+    private boolean takesSlices(MemberId target) {
+        MemberRow member = directory.member(target);
+        return member != null && member.status().takesSlices();
+    }
+
+    private SliceInput moveOf(SliceId slice) {
+        long drainMillis = leaving() ? settings.timing().longestRequestMillis() : DRAIN_MILLIS;
+        return new SliceInput(new SliceMove(plan.target(slice.number()), Timing.nanos(drainMillis)));
+    }
+
+    private boolean parts(MemberId target) {
+        return !target.equals(settings.self()) && (leaving() || !target.isNone());
+    }
+
+    private boolean leaving() {
+        MemberRow self = directory.member(settings.self());
+        return self != null && !self.status().takesSlices();
+    }
+
+    private void startMoves(long now, Effects effects) {
+        if (!leaving() && !plan.settled(now)) {
+            return;
+        }
+        List<SliceId> parting = new ArrayList<>();
         int[] moving = {0};
         slices.forEach((slice, owned) -> {
             if (owned.is(SliceTag.MOVING)) {
                 moving[0]++;
-            } else if (owned.is(SliceTag.ADMITS) && !targets.get(slice.number()).equals(settings.self())) {
-                leaving.add(slice);
+            } else if (owned.is(SliceTag.MOVABLE) && parts(plan.target(slice.number()))) {
+                parting.add(slice);
             }
         });
-        leaving.stream().limit(Math.max(0, MAX_MOVES - moving[0])).forEach(slice -> {
-            SliceInput input = new SliceInput(targets.get(slice.number()));
-            slices.fire(slice, SliceEvent.MOVE, input, now, effects);
-        });
+        parting.sort(Comparator.comparing((SliceId slice) -> plan.heat(slice.number()))
+                .reversed()
+                .thenComparing(SliceId::number));
+        int limit = leaving() ? MAX_MOVES_WHEN_LEAVING : MAX_MOVES;
+        parting.stream()
+                .limit(Math.max(0, limit - moving[0]))
+                .forEach(slice -> slices.fire(slice, SliceEvent.MOVE, moveOf(slice), now, effects));
     }
 
-    private void write(int chunk, List<MemberId> targets, long now, Effects effects) {
+    private void write(int chunk, double mean, long now, Effects effects) {
         ChunkRow before = directory.chunk(service, chunk);
         String operation = settings.self() + "/own/" + ++operations;
         ChunkRow after = before;
+        List<SliceId> passing = new ArrayList<>();
         for (int i = 0; i < before.grants().size(); i++) {
-            int number = chunk * service.chunkSlices() + i;
-            SliceGrant next = next(number, before.grants().get(i), targets.get(number));
-            if (next != before.grants().get(i)) {
-                after = after.with(i, next, operation);
+            SliceId slice = new SliceId(service.name(), chunk * service.chunkSlices() + i);
+            SliceGrant grant = before.grants().get(i);
+            SliceGrant next = next(slice, grant, now);
+            int heat = mean > 0
+                    ? heats.heat(slice, before.heats().get(i), mean, now)
+                    : before.heats().get(i);
+            after = next == grant ? after : after.with(i, next, operation);
+            after = heat == before.heats().get(i) ? after : after.withHeat(i, heat, operation);
+            if (next != grant && isOwn(slice)) {
+                passing.add(slice);
             }
         }
         if (after != before) {
-            commit(chunk, after, now, effects);
+            fireAll(passing, SliceEvent.PASS, now, effects);
+            commit(chunk, after, passing, now, effects);
         }
     }
 
-    private SliceGrant next(int number, SliceGrant grant, MemberId target) {
-        Instance<SliceData> owned = slices.find(new SliceId(service.name(), number));
-        if (owned != null && owned.is(SliceTag.PASSABLE)) {
-            return grant.passedTo(owned.data().target(), GrantOrigin.HANDED_OVER);
+    private boolean isOwn(SliceId slice) {
+        return slices.find(slice) != null;
+    }
+
+    private SliceGrant next(SliceId slice, SliceGrant grant, long now) {
+        Instance<SliceData> owned = slices.find(slice);
+        if (owned != null) {
+            boolean passable = owned.is(SliceTag.PASSABLE);
+            return passable ? grant.passedTo(owned.data().move().target(), GrantOrigin.HANDED_OVER) : grant;
         }
-        if (grant.owner().isNone() && target.equals(settings.self())) {
-            return grant.passedTo(settings.self(), GrantOrigin.CLAIMED);
+        if (!plan.target(slice.number()).equals(settings.self())) {
+            return grant;
         }
-        if (directory.ended(grant.owner()) && target.equals(settings.self())) {
-            return grant.passedTo(settings.self(), GrantOrigin.TAKEN_OVER);
+        if (grant.owner().isNone() && (grant.epoch() > 0 || plan.settled(now))) {
+            return grant.passedTo(settings.self(), GrantOrigin.CLAIMED);
         }
-        return grant;
+        boolean lost = directory.ended(grant.owner());
+        return lost ? grant.passedTo(settings.self(), GrantOrigin.TAKEN_OVER) : grant;
     }
 
-    private void commit(int chunk, ChunkRow after, long now, Effects effects) {
+    private void commit(int chunk, ChunkRow after, List<SliceId> passing, long now, Effects effects) {
         busyChunks.add(chunk);
         long version = directory.version(ChunkRow.keyOf(service.name(), chunk));
         RowWrite write = new RowWrite(ChunkRow.keyOf(service.name(), chunk), version, after);
         store.submit(new StoreRequest.Commit(List.of(write)), now, effects, (reply, at, out) -> {
             busyChunks.remove(chunk);
-            written(reply, at, out);
+            written(reply, passing, at, out);
         });
     }
 
-    private void written(StoreReply reply, long now, Effects effects) {
+    private void written(StoreReply reply, List<SliceId> passing, long now, Effects effects) {
         if (reply instanceof StoreReply.Committed committed) {
+            committed.rows().forEach(row -> tellOwners(row, effects));
             committed.rows().forEach(row -> sink.wrote(row, now, effects));
         } else if (reply instanceof StoreReply.Conflicted conflicted) {
             conflicted.rows().forEach(row -> sink.read(row, now, effects));
+            fireAll(passing, SliceEvent.CONFLICTED, now, effects);
+        } else if (reply instanceof StoreReply.Failed failed) {
+            boolean unknown = failed.failure().effectUnknown();
+            fireAll(passing, unknown ? SliceEvent.PASS_UNKNOWN : SliceEvent.NOT_PASSED, now, effects);
+        }
+    }
+
+    /** Sends the row to the owners that it changes, so that these open at once. */
+    private void tellOwners(Row row, Effects effects) {
+        ChunkRow chunk = (ChunkRow) row.value();
+        ChunkRow before = directory.chunk(service, chunk.chunk());
+        Set<MemberId> changed = new LinkedHashSet<>();
+        for (int i = 0; i < chunk.grants().size(); i++) {
+            if (!chunk.grants().get(i).equals(before.grants().get(i))) {
+                changed.add(chunk.grants().get(i).owner());
+            }
         }
+        changed.remove(settings.self());
+        changed.remove(MemberId.NONE);
+        changed.forEach(owner -> effects.emit(new Effect.SendToPeer(owner, new PeerMessage.RowPush(List.of(row)))));
+    }
+
+    private void fireAll(List<SliceId> all, SliceEvent event, long now, Effects effects) {
+        all.forEach(slice -> slices.fire(slice, event, SliceInput.NONE, now, effects));
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/ownership/SliceAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/ownership/SliceAction.java
@@ -2,7 +2,6 @@
 
 import org.verbenamast.core.chart.Action;
 import org.verbenamast.core.effect.Effects;
-import org.verbenamast.core.model.MemberId;
 
 /** The steps in the chart of a slice. */
 public enum SliceAction implements Action<SliceData, SliceInput> {
@@ -24,14 +23,14 @@
     SET_TARGET {
         @Override
         public SliceData apply(SliceData data, SliceInput input, long now, Effects effects) {
-            return data.withTarget(input.target());
+            return data.withMove(input.move());
         }
     },
     /** Forgets where the slice was to move. */
     CLEAR_TARGET {
         @Override
         public SliceData apply(SliceData data, SliceInput input, long now, Effects effects) {
-            return data.withTarget(MemberId.NONE);
+            return data.withMove(SliceMove.NONE);
         }
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/ownership/SliceData.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/ownership/SliceData.java
@@ -2,7 +2,6 @@
 
 import java.util.Objects;
 
-import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.model.SliceId;
 
 /**
@@ -11,16 +10,16 @@
  * @param slice the slice
  * @param grant the grant under which the node owns it
  * @param running how many requests for the slice the backend server has
- * @param target the member that the slice is to move to, or {@link MemberId#NONE}
+ * @param move where the slice is to move, or {@link SliceMove#NONE}
  * @param settleNanos how long requests of an earlier owner may still run, in nanoseconds
  */
-public record SliceData(SliceId slice, SliceGrant grant, int running, MemberId target, long settleNanos) {
+public record SliceData(SliceId slice, SliceGrant grant, int running, SliceMove move, long settleNanos) {
 
     /** Checks the parts. */
     public SliceData {
         Objects.requireNonNull(slice, "slice");
         Objects.requireNonNull(grant, "grant");
-        Objects.requireNonNull(target, "target");
+        Objects.requireNonNull(move, "move");
     }
 
     /**
@@ -30,16 +29,16 @@
      * @return the changed data
      */
     public SliceData withRunning(int next) {
-        return new SliceData(slice, grant, next, target, settleNanos);
+        return new SliceData(slice, grant, next, move, settleNanos);
     }
 
     /**
-     * Returns this data with another target.
+     * Returns this data with another move.
      *
-     * @param next the member that the slice is to move to
+     * @param next where the slice is to move
      * @return the changed data
      */
-    public SliceData withTarget(MemberId next) {
+    public SliceData withMove(SliceMove next) {
         return new SliceData(slice, grant, running, next, settleNanos);
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/ownership/SliceEvent.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/ownership/SliceEvent.java
@@ -14,6 +14,18 @@
     MOVE,
     /** The move is called off. */
     STAY,
+    /** The requests at the backend server take too long to wait for. */
+    DRAIN_DUE,
+    /** The grant of the next owner is being written. */
+    PASS,
+    /** The row had another version: nothing that this node wrote can take effect any more. */
+    CONFLICTED,
+    /** The write of the next grant certainly had no effect. */
+    NOT_PASSED,
+    /** The write of the next grant may still take effect. */
+    PASS_UNKNOWN,
+    /** A new move may start. */
+    REST_DUE,
     /** The table service holds another owner now. */
     PASSED_ON
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/ownership/SliceInput.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/ownership/SliceInput.java
@@ -2,20 +2,18 @@
 
 import java.util.Objects;
 
-import org.verbenamast.core.model.MemberId;
-
 /**
  * What an event tells a slice.
  *
- * @param target the member that the slice is to move to, or {@link MemberId#NONE}
+ * @param move where the slice is to move, or {@link SliceMove#NONE}
  */
-public record SliceInput(MemberId target) {
+public record SliceInput(SliceMove move) {
 
     /** The input of events that tell nothing more. */
-    public static final SliceInput NONE = new SliceInput(MemberId.NONE);
+    public static final SliceInput NONE = new SliceInput(SliceMove.NONE);
 
-    /** Checks the target. */
+    /** Checks the move. */
     public SliceInput {
-        Objects.requireNonNull(target, "target");
+        Objects.requireNonNull(move, "move");
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/ownership/SliceTag.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/ownership/SliceTag.java
@@ -4,6 +4,10 @@
 public enum SliceTag {
     /** New requests for the slice are admitted. */
     ADMITS,
+    /** A move may start. */
+    MOVABLE,
+    /** The move may be called off or given another target. */
+    RECALLABLE,
     /** The slice may be passed on in the table service. */
     PASSABLE,
     /** The slice is on its way to another member. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/ownership/SliceTimer.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/ownership/SliceTimer.java
@@ -1,5 +1,7 @@
 package org.verbenamast.core.ownership;
 
+import java.time.Duration;
+
 import org.verbenamast.core.chart.TimerRule;
 
 /** The timers in the chart of a slice. */
@@ -15,5 +17,31 @@
         public long delayNanos(SliceData data, long now) {
             return data.settleNanos();
         }
-    }
+    },
+    /** Bounds the wait for the requests at the backend server. */
+    DRAIN {
+        @Override
+        public SliceEvent fires() {
+            return SliceEvent.DRAIN_DUE;
+        }
+
+        @Override
+        public long delayNanos(SliceData data, long now) {
+            return data.move().drainNanos();
+        }
+    },
+    /** Waits before a slice whose move was called off may move again. */
+    REST {
+        @Override
+        public SliceEvent fires() {
+            return SliceEvent.REST_DUE;
+        }
+
+        @Override
+        public long delayNanos(SliceData data, long now) {
+            return REST_NANOS;
+        }
+    };
+
+    private static final long REST_NANOS = Duration.ofSeconds(3).toNanos();
 }
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/ownership/TargetPlan.java
@@ -0,0 +1,104 @@
+package org.verbenamast.core.ownership;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+
+import org.verbenamast.core.assign.AssignmentProblem;
+import org.verbenamast.core.assign.Candidate;
+import org.verbenamast.core.membership.Directory;
+import org.verbenamast.core.membership.MemberRow;
+import org.verbenamast.core.model.MemberId;
+import org.verbenamast.core.model.ServiceSettings;
+
+/** Which member should own each slice by the rows that this node knows. Made anew only where these change. */
+final class TargetPlan {
+
+    private static final long CALM_NANOS = Duration.ofSeconds(1).toNanos();
+    private static final long MAX_UNREST_NANOS = Duration.ofSeconds(5).toNanos();
+
+    private final Directory directory;
+    private final ServiceSettings service;
+    private final OwnershipRules rules;
+    private final MemberId self;
+    private final Set<Integer> claimable = new TreeSet<>();
+    private List<MemberId> targets = List.of();
+    private List<Integer> heats = List.of();
+    private List<MemberId> members = List.of();
+    private long revision = -1;
+    private long changedAt;
+    private long restlessSince;
+
+    TargetPlan(Directory directory, ServiceSettings service, OwnershipRules rules, MemberId self) {
+        this.directory = directory;
+        this.service = service;
+        this.rules = rules;
+        this.self = self;
+    }
+
+    void refresh(long now) {
+        if (directory.revision() == revision) {
+            return;
+        }
+        revision = directory.revision();
+        List<MemberRow> active = directory.activeMembers(service.name());
+        noteMembers(active.stream().map(MemberRow::id).toList(), now);
+        heats = directory.heats(service);
+        targets = active.isEmpty() ? List.of() : choose(active);
+        findClaimable();
+    }
+
+    private void noteMembers(List<MemberId> next, long now) {
+        if (next.equals(members)) {
+            return;
+        }
+        if (settled(now)) {
+            restlessSince = now;
+        }
+        members = next;
+        changedAt = now;
+    }
+
+    private List<MemberId> choose(List<MemberRow> active) {
+        List<Candidate> candidates = new ArrayList<>();
+        active.forEach(member ->
+                candidates.add(new Candidate(member.id(), rules.weights().weightOf(member))));
+        List<MemberId> owners =
+                directory.grants(service).stream().map(SliceGrant::owner).toList();
+        return rules.policy().targets(new AssignmentProblem(owners, heats, candidates));
+    }
+
+    private void findClaimable() {
+        claimable.clear();
+        for (int slice = 0; slice < targets.size(); slice++) {
+            int chunk = service.chunkOf(slice);
+            SliceGrant grant = directory.chunk(service, chunk).grants().get(slice - chunk * service.chunkSlices());
+            boolean free = grant.owner().isNone() || directory.ended(grant.owner());
+            if (free && targets.get(slice).equals(self)) {
+                claimable.add(chunk);
+            }
+        }
+    }
+
+    /** Tells whether members have stopped coming and going, or whether waiting for that has taken too long. */
+    boolean settled(long now) {
+        return now - changedAt >= CALM_NANOS || now - restlessSince >= MAX_UNREST_NANOS;
+    }
+
+    /** Returns the member that should own a slice, or {@link MemberId#NONE} where the service has no member. */
+    MemberId target(int slice) {
+        return targets.isEmpty() ? MemberId.NONE : targets.get(slice);
+    }
+
+    /** Returns how many ordinary slices a slice counts as. */
+    int heat(int slice) {
+        return heats.get(slice);
+    }
+
+    /** Returns the chunks in which this node should claim slices. */
+    Set<Integer> claimable() {
+        return claimable;
+    }
+}
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerCodec.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerCodec.java
@@ -96,7 +96,9 @@
                         envelope.getSealReply().getRemainingNanos());
             case ROW_PUSH -> RowCodec.decode(envelope.getRowPush());
             case DIGEST_OFFER ->
-                new PeerMessage.DigestOffer(envelope.getDigestOffer().getBucketsList());
+                new PeerMessage.DigestOffer(
+                        envelope.getDigestOffer().getBucketsList(),
+                        envelope.getDigestOffer().getRate());
             case BUCKET_VERSIONS -> RowCodec.decode(envelope.getBucketVersions());
             case ROW_REQUEST -> RowCodec.decode(envelope.getRowRequest());
             case KIND_NOT_SET -> throw WireException.shouldHaveKnownKind();
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerEncoder.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerEncoder.java
@@ -70,7 +70,8 @@
 
     @Override
     public void onDigestOffer(MemberId from, PeerMessage.DigestOffer message, long now) {
-        envelope.setDigestOffer(DigestOffer.newBuilder().addAllBuckets(message.buckets()));
+        envelope.setDigestOffer(
+                DigestOffer.newBuilder().addAllBuckets(message.buckets()).setRate((float) message.rate()));
     }
 
     @Override
--- a/verbenamast-wire/src/test/java/org/verbenamast/wire/spread/SpreadNode.java
+++ b/verbenamast-wire/src/test/java/org/verbenamast/wire/spread/SpreadNode.java
@@ -37,7 +37,7 @@
                 Timing.DEFAULT,
                 0,
                 number);
-        this.spread = new SpreadDesk(settings, directory);
+        this.spread = new SpreadDesk(settings, directory, now -> 0);
     }
 
     MemberId id() {
