Ownership: measures of moves in virtual time; a move waits until rows have spread

Cause: nothing measured churn, imbalance and unserved time.

Change: a move starts only where the plan has asked for it for 2 s without a break; a leaving member does not wait. A slice that has drained, or whose write met a conflict, is written at once and not at the next review. A row that a node wrote and whose reply was lost is told to the next owner when it is read back. PlannedMoves holds the moves apart from OwnershipDesk.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/ownership/OwnershipDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/ownership/OwnershipDesk.java
@@ -1,7 +1,6 @@
 package org.verbenamast.core.ownership;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -39,9 +38,6 @@
     public static final Vocabulary<SliceEvent, SliceGuard, SliceAction, SliceTimer, SliceTag> VOCABULARY =
             new Vocabulary<>(SliceEvent.class, SliceGuard.class, SliceAction.class, SliceTimer.class, SliceTag.class);
 
-    private static final int MAX_MOVES = 8;
-    private static final int MAX_MOVES_WHEN_LEAVING = 64;
-    private static final long DRAIN_MILLIS = 2_000;
     private static final long HEAT_EVERY_MILLIS = 2_000;
 
     private final CoreSettings settings;
@@ -52,6 +48,7 @@
     private final RowSink sink;
     private final Population<SliceId, SliceEvent, SliceData, SliceInput> slices;
     private final TargetPlan plan;
+    private final PlannedMoves moves;
     private final SliceHeats heats;
     private final Set<Integer> busyChunks = new HashSet<>();
     private long operations;
@@ -86,6 +83,7 @@
         Chart<SliceEvent, SliceData, SliceInput> chart = ChartReader.bundled("slice", VOCABULARY);
         this.slices = new Population<>(chart, event -> SliceInput.NONE, listener);
         this.plan = new TargetPlan(directory, service, rules, settings.self());
+        this.moves = new PlannedMoves(settings, directory, slices, plan);
         this.heats = new SliceHeats(directory::granted);
     }
 
@@ -133,6 +131,10 @@
      */
     public void finished(SliceId slice, long now, Effects effects) {
         slices.fire(slice, SliceEvent.FINISHED, SliceInput.NONE, now, effects);
+        Instance<SliceData> owned = slices.find(slice);
+        if (owned != null && owned.is(SliceTag.PASSABLE)) {
+            nextReview = now;
+        }
     }
 
     /**
@@ -231,13 +233,13 @@
     }
 
     private void review(long now, Effects effects) {
-        plan.refresh(now);
+        plan.refresh(now, moves::targets);
         boolean measure = now >= nextHeats;
         if (measure) {
             nextHeats = now + Timing.nanos(HEAT_EVERY_MILLIS);
         }
-        redirect(now, effects);
-        startMoves(now, effects);
+        moves.redirect(now, effects);
+        moves.start(now, effects);
         Set<Integer> chunks = new TreeSet<>(plan.claimable());
         slices.forEach((slice, owned) -> {
             if (measure || owned.is(SliceTag.PASSABLE)) {
@@ -249,66 +251,9 @@
         chunks.forEach(chunk -> write(chunk, mean, now, effects));
     }
 
-    /** Gives the slices on their way another target, or none, where the target takes no slices any more. */
-    private void redirect(long now, Effects effects) {
-        List<SliceId> lost = new ArrayList<>();
-        slices.forEach((slice, owned) -> {
-            if (owned.is(SliceTag.RECALLABLE)
-                    && !takesSlices(owned.data().move().target())) {
-                lost.add(slice);
-            }
-        });
-        for (SliceId slice : lost) {
-            SliceInput move = moveOf(slice);
-            boolean stays = move.move().target().equals(settings.self());
-            slices.fire(slice, stays ? SliceEvent.STAY : SliceEvent.MOVE, move, now, effects);
-        }
-    }
-
-    private boolean takesSlices(MemberId target) {
-        MemberRow member = directory.member(target);
-        return member != null && member.status().takesSlices();
-    }
-
-    private SliceInput moveOf(SliceId slice) {
-        long drainMillis = leaving() ? settings.timing().longestRequestMillis() : DRAIN_MILLIS;
-        return new SliceInput(new SliceMove(plan.target(slice.number()), Timing.nanos(drainMillis)));
-    }
-
-    private boolean parts(MemberId target) {
-        return !target.equals(settings.self()) && (leaving() || !target.isNone());
-    }
-
-    private boolean leaving() {
-        MemberRow self = directory.member(settings.self());
-        return self != null && !self.status().takesSlices();
-    }
-
-    private void startMoves(long now, Effects effects) {
-        if (!leaving() && !plan.settled(now)) {
-            return;
-        }
-        List<SliceId> parting = new ArrayList<>();
-        int[] moving = {0};
-        slices.forEach((slice, owned) -> {
-            if (owned.is(SliceTag.MOVING)) {
-                moving[0]++;
-            } else if (owned.is(SliceTag.MOVABLE) && parts(plan.target(slice.number()))) {
-                parting.add(slice);
-            }
-        });
-        parting.sort(Comparator.comparing((SliceId slice) -> plan.heat(slice.number()))
-                .reversed()
-                .thenComparing(SliceId::number));
-        int limit = leaving() ? MAX_MOVES_WHEN_LEAVING : MAX_MOVES;
-        parting.stream()
-                .limit(Math.max(0, limit - moving[0]))
-                .forEach(slice -> slices.fire(slice, SliceEvent.MOVE, moveOf(slice), now, effects));
-    }
-
     private void write(int chunk, double mean, long now, Effects effects) {
         ChunkRow before = directory.chunk(service, chunk);
-        String operation = settings.self() + "/own/" + ++operations;
+        String operation = operationPrefix() + ++operations;
         ChunkRow after = before;
         List<SliceId> passing = new ArrayList<>();
         for (int i = 0; i < before.grants().size(); i++) {
@@ -362,17 +307,31 @@
 
     private void written(StoreReply reply, List<SliceId> passing, long now, Effects effects) {
         if (reply instanceof StoreReply.Committed committed) {
-            committed.rows().forEach(row -> tellOwners(row, effects));
-            committed.rows().forEach(row -> sink.wrote(row, now, effects));
+            committed.rows().forEach(row -> take(row, now, effects));
         } else if (reply instanceof StoreReply.Conflicted conflicted) {
-            conflicted.rows().forEach(row -> sink.read(row, now, effects));
+            conflicted.rows().forEach(row -> take(row, now, effects));
             fireAll(passing, SliceEvent.CONFLICTED, now, effects);
+            nextReview = passing.isEmpty() ? nextReview : now;
         } else if (reply instanceof StoreReply.Failed failed) {
             boolean unknown = failed.failure().effectUnknown();
             fireAll(passing, unknown ? SliceEvent.PASS_UNKNOWN : SliceEvent.NOT_PASSED, now, effects);
         }
     }
 
+    /** Takes a row of a reply; one that this node wrote, though the reply to the write was lost, is told to others. */
+    private void take(Row row, long now, Effects effects) {
+        if (row.value().operation().startsWith(operationPrefix())) {
+            tellOwners(row, effects);
+            sink.wrote(row, now, effects);
+        } else {
+            sink.read(row, now, effects);
+        }
+    }
+
+    private String operationPrefix() {
+        return settings.self() + "/own/";
+    }
+
     /** Sends the row to the owners that it changes, so that these open at once. */
     private void tellOwners(Row row, Effects effects) {
         ChunkRow chunk = (ChunkRow) row.value();
--- a/verbenamast-core/src/main/java/org/verbenamast/core/ownership/TargetPlan.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/ownership/TargetPlan.java
@@ -3,8 +3,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Supplier;
 
 import org.verbenamast.core.assign.AssignmentProblem;
 import org.verbenamast.core.assign.Candidate;
@@ -38,7 +40,13 @@
         this.self = self;
     }
 
-    void refresh(long now) {
+    /**
+     * Makes the plan anew where the rows have changed.
+     *
+     * @param now the monotonic time, in nanoseconds
+     * @param moving the next owners of this node's slices that are on their way, by slice number; they count as owners
+     */
+    void refresh(long now, Supplier<Map<Integer, MemberId>> moving) {
         if (directory.revision() == revision) {
             return;
         }
@@ -46,7 +54,7 @@
         List<MemberRow> active = directory.activeMembers(service.name());
         noteMembers(active.stream().map(MemberRow::id).toList(), now);
         heats = directory.heats(service);
-        targets = active.isEmpty() ? List.of() : choose(active);
+        targets = active.isEmpty() ? List.of() : choose(active, moving.get());
         findClaimable();
     }
 
@@ -61,12 +69,14 @@
         changedAt = now;
     }
 
-    private List<MemberId> choose(List<MemberRow> active) {
+    private List<MemberId> choose(List<MemberRow> active, Map<Integer, MemberId> moving) {
         List<Candidate> candidates = new ArrayList<>();
         active.forEach(member ->
                 candidates.add(new Candidate(member.id(), rules.weights().weightOf(member))));
-        List<MemberId> owners =
-                directory.grants(service).stream().map(SliceGrant::owner).toList();
+        List<MemberId> owners = new ArrayList<>();
+        for (SliceGrant grant : directory.grants(service)) {
+            owners.add(moving.getOrDefault(owners.size(), grant.owner()));
+        }
         return rules.policy().targets(new AssignmentProblem(owners, heats, candidates));
     }
 
--- /dev/null
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/ownership/OwnerNode.java
@@ -0,0 +1,82 @@
+package org.verbenamast.core.ownership;
+
+import java.util.List;
+
+import org.verbenamast.core.chart.TransitionListener;
+import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.membership.Directory;
+import org.verbenamast.core.membership.Rows;
+import org.verbenamast.core.model.MemberId;
+import org.verbenamast.core.model.ServiceSettings;
+import org.verbenamast.core.node.CoreSettings;
+import org.verbenamast.core.node.RowSink;
+import org.verbenamast.core.node.Timing;
+import org.verbenamast.core.store.Row;
+import org.verbenamast.core.store.StoreDesk;
+
+/** The slices of one member, with its directory and its calls to the table service. */
+final class OwnerNode implements RowSink {
+
+    private final MemberId id;
+    private final Directory directory;
+    private final StoreDesk store;
+    private final OwnershipDesk ownership;
+    private final OwnerFleet fleet;
+    private boolean alive = true;
+
+    OwnerNode(MemberId id, ServiceSettings service, OwnershipRules rules, OwnerFleet fleet) {
+        this.id = id;
+        this.fleet = fleet;
+        CoreSettings settings = Rows.settings(id, service, List.of());
+        this.directory = new Directory(List.of(service));
+        this.store = new StoreDesk(Timing.nanos(settings.timing().storeTimeoutMillis()), TransitionListener.NONE);
+        this.ownership =
+                new OwnershipDesk(settings, directory, store, rules, now -> alive, this, TransitionListener.NONE);
+    }
+
+    MemberId id() {
+        return id;
+    }
+
+    Directory directory() {
+        return directory;
+    }
+
+    StoreDesk store() {
+        return store;
+    }
+
+    OwnershipDesk ownership() {
+        return ownership;
+    }
+
+    boolean alive() {
+        return alive;
+    }
+
+    void stop() {
+        alive = false;
+    }
+
+    void learn(Row row, long now, Effects effects) {
+        if (alive && directory.learn(row)) {
+            ownership.learnt(row, now, effects);
+        }
+    }
+
+    void advance(long now, Effects effects) {
+        store.advance(now, effects);
+        ownership.advance(now, effects);
+    }
+
+    @Override
+    public void wrote(Row row, long now, Effects effects) {
+        learn(row, now, effects);
+        fleet.spread(row);
+    }
+
+    @Override
+    public void read(Row row, long now, Effects effects) {
+        learn(row, now, effects);
+    }
+}
--- /dev/null
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/ownership/StoreFake.java
@@ -0,0 +1,88 @@
+package org.verbenamast.core.ownership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import org.verbenamast.core.store.Row;
+import org.verbenamast.core.store.RowKey;
+import org.verbenamast.core.store.RowWrite;
+import org.verbenamast.core.store.StoreFailure;
+import org.verbenamast.core.store.StoreReply;
+import org.verbenamast.core.store.StoreRequest;
+
+/** A table service in memory that can be down and can lose replies. */
+final class StoreFake {
+
+    private final Map<RowKey, Row> rows = new HashMap<>();
+    private boolean down;
+    private boolean repliesLost;
+    private int moves;
+
+    void down(boolean next) {
+        down = next;
+    }
+
+    void repliesLost(boolean next) {
+        repliesLost = next;
+    }
+
+    /** Returns how many slices have changed from one owner to another. */
+    int moves() {
+        return moves;
+    }
+
+    Row put(Row row) {
+        rows.put(row.key(), row);
+        return row;
+    }
+
+    List<Row> rows() {
+        return List.copyOf(rows.values());
+    }
+
+    Row row(RowKey key) {
+        return rows.get(key);
+    }
+
+    /** Runs a transaction; null where the reply is lost. */
+    StoreReply run(StoreRequest.Commit commit) {
+        if (down) {
+            return new StoreReply.Failed(StoreFailure.UNAVAILABLE);
+        }
+        StoreReply reply = commit(commit.writes());
+        return repliesLost ? null : reply;
+    }
+
+    private StoreReply commit(List<RowWrite> writes) {
+        List<Row> present = new ArrayList<>();
+        for (RowWrite write : writes) {
+            Row row = rows.get(write.key());
+            if ((row == null ? 0 : row.version()) != write.expectedVersion()) {
+                present.add(row);
+            }
+        }
+        if (!present.isEmpty()) {
+            return new StoreReply.Conflicted(present);
+        }
+        List<Row> written = new ArrayList<>();
+        for (RowWrite write : writes) {
+            countMoves(rows.get(write.key()), (ChunkRow) write.value());
+            written.add(put(new Row(write.key(), write.expectedVersion() + 1, write.value())));
+        }
+        return new StoreReply.Committed(written);
+    }
+
+    private void countMoves(Row before, ChunkRow after) {
+        if (before == null) {
+            return;
+        }
+        List<SliceGrant> grants = ((ChunkRow) before.value()).grants();
+        for (int i = 0; i < grants.size(); i++) {
+            boolean owned = !grants.get(i).owner().isNone();
+            moves +=
+                    owned && !grants.get(i).owner().equals(after.grants().get(i).owner()) ? 1 : 0;
+        }
+    }
+}
