Charts: a population's queue of alarms is bounded by its instances

Cause: an instance that ended before its timer was due left its alarm in the queue until then. With deadlines of 5 s the queue held 5 s of requests.

Ruled out: PriorityQueue.remove, which searches the queue for each request; a heap that knows the place of each entry, or a timer wheel, which are more code than the fault is worth while a rebuild costs a constant time per alarm on average.

Change: once the queue holds more than twice as many alarms as there are instances and 64 more, it is made anew from the instances' own deadlines.

Timers still fire once each and in order after rebuilds (100 of 100).

Conclusion: the memory of timers follows the requests under way, not the rate.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/chart/Population.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/chart/Population.java
@@ -20,6 +20,9 @@
  */
 public final class Population<K, E extends Enum<E>, D, I> {
 
+    private static final int MAX_ALARMS_PER_INSTANCE = 2;
+    private static final int MIN_ALARMS = 64;
+
     private final Chart<E, D, I> chart;
     private final Function<E, I> timerInput;
     private final TransitionListener listener;
@@ -81,6 +84,7 @@
     private void keep(K key, Instance<D> next) {
         if (next.ended()) {
             instances.remove(key);
+            dropStaleAlarms();
             return;
         }
         Instance<D> before = instances.put(key, next);
@@ -88,9 +92,32 @@
         boolean known = before != null && before.deadlines().earliest() == due;
         if (due != Deadlines.NOT_ARMED && !known) {
             alarms.add(new Alarm<>(due, key));
+            dropStaleAlarms();
         }
     }
 
+    /**
+     * Makes the queue anew from the instances once most of its alarms are of no use any more. Removing each alarm at
+     * once would cost a search; this costs a constant time per alarm on average and bounds the queue by the instances.
+     */
+    private void dropStaleAlarms() {
+        if (alarms.size() <= MAX_ALARMS_PER_INSTANCE * instances.size() + MIN_ALARMS) {
+            return;
+        }
+        alarms.clear();
+        instances.forEach((key, instance) -> {
+            long due = instance.deadlines().earliest();
+            if (due != Deadlines.NOT_ARMED) {
+                alarms.add(new Alarm<>(due, key));
+            }
+        });
+    }
+
+    /** Returns how many alarms the queue holds, those of no use any more included. */
+    int alarms() {
+        return alarms.size();
+    }
+
     /**
      * Fires the events of all timers that are due.
      *
--- /dev/null
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/chart/PopulationTest.java
@@ -0,0 +1,64 @@
+package org.verbenamast.core.chart;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.verbenamast.core.chart.file.ChartReader;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PopulationTest {
+
+    private static final int REQUESTS = 100_000;
+    private static final int LIVE = 100;
+    private static final int MOST_ALARMS = 2 * LIVE + 66;
+    private static final String DOOR = """
+            {"chart": "door", "about": "a door", "initial": "SHUT", "states": [
+              {"name": "SHUT", "about": "a", "starts": ["PATIENCE"], "on": [
+                {"event": "OPEN", "to": "GONE"},
+                {"event": "LATE", "to": "GONE"}]},
+              {"name": "GONE", "about": "a", "last": true, "cancels": ["PATIENCE"]}
+            ]}
+            """;
+
+    private final List<Integer> late = new ArrayList<>();
+    private final Population<Integer, DoorChart.Event, Integer, Boolean> doors = new Population<>(
+            ChartReader
+                    .<DoorChart.Event, DoorChart.Condition, DoorChart.Step, DoorChart.Timer, DoorChart.Mark, Integer,
+                            Boolean>
+                            read("door", DOOR, DoorChart.VOCABULARY)
+                    .get(),
+            event -> true,
+            (chart, subject, event, transition, now) -> {
+                if (event == DoorChart.Event.LATE) {
+                    late.add((Integer) subject);
+                }
+            });
+
+    @Test
+    void should_hold_few_alarms_when_instances_end_before_their_timers_are_due() {
+        int most = 0;
+        for (int i = 0; i < REQUESTS; i++) {
+            doors.begin(i, 0, 0);
+            doors.fire(i - LIVE, DoorChart.Event.OPEN, true, 0, effect -> {});
+            most = Math.max(most, doors.alarms());
+        }
+        assertThat(doors.size()).isEqualTo(LIVE);
+        assertThat(most).isLessThanOrEqualTo(MOST_ALARMS);
+    }
+
+    @Test
+    void should_fire_each_timer_once_and_in_order_when_alarms_were_dropped() {
+        for (int i = 0; i < REQUESTS; i++) {
+            doors.begin(i, 0, i);
+            if (i % 1_000 != 0) {
+                doors.fire(i, DoorChart.Event.OPEN, true, i, effect -> {});
+            }
+        }
+        assertThat(doors.nextDue()).isLessThan(REQUESTS);
+        doors.advance(2L * REQUESTS, effect -> {});
+        assertThat(late).hasSize(REQUESTS / 1_000).doesNotHaveDuplicates().isSorted();
+        assertThat(doors.size()).isZero();
+    }
+}
