--- a/verbenamast-core/src/test/java/org/verbenamast/core/ownership/OwnerFleet.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/ownership/OwnerFleet.java
@@ -15,7 +15,6 @@
 import org.verbenamast.core.model.SliceId;
 import org.verbenamast.core.store.Row;
 import org.verbenamast.core.store.StoreReply;
-import org.verbenamast.core.store.StoreRequest;
 
 /** The owners of one service on virtual time: who admits which slice, and for how long nobody does. */
 final class OwnerFleet {
@@ -156,7 +155,7 @@
     }
 
     private void runStore(OwnerNode node, Effect.CallStore call) {
-        StoreReply reply = store.run((StoreRequest.Commit) call.request());
+        StoreReply reply = store.run(call.request());
         if (reply != null && node.alive()) {
             node.store().replied(call.call(), reply, now, effect -> run(node, effect));
         }
--- a/verbenamast-core/src/test/java/org/verbenamast/core/ownership/StoreFake.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/ownership/StoreFake.java
@@ -7,13 +7,14 @@
 
 import org.verbenamast.core.store.Row;
 import org.verbenamast.core.store.RowKey;
+import org.verbenamast.core.store.RowValue;
 import org.verbenamast.core.store.RowWrite;
 import org.verbenamast.core.store.StoreFailure;
 import org.verbenamast.core.store.StoreReply;
 import org.verbenamast.core.store.StoreRequest;
 
 /** A table service in memory that can be down and can lose replies. */
-final class StoreFake {
+public final class StoreFake {
 
     private final Map<RowKey, Row> rows = new HashMap<>();
     private boolean down;
@@ -42,19 +43,30 @@
         return List.copyOf(rows.values());
     }
 
-    Row row(RowKey key) {
+    /** Finds a row. */
+    public Row row(RowKey key) {
         return rows.get(key);
     }
 
-    /** Runs a transaction; null where the reply is lost. */
-    StoreReply run(StoreRequest.Commit commit) {
+    /** Runs a request; null where the reply is lost. */
+    public StoreReply run(StoreRequest request) {
         if (down) {
             return new StoreReply.Failed(StoreFailure.UNAVAILABLE);
         }
-        StoreReply reply = commit(commit.writes());
+        StoreReply reply = request instanceof StoreRequest.Commit commit
+                ? commit(commit.writes())
+                : new StoreReply.RowsRead(matching(request));
         return repliesLost ? null : reply;
     }
 
+    private List<Row> matching(StoreRequest request) {
+        return rows.values().stream()
+                .filter(row -> request instanceof StoreRequest.ScanTable scan
+                        ? row.key().table() == scan.table()
+                        : row.key().equals(((StoreRequest.ReadRow) request).key()))
+                .toList();
+    }
+
     private StoreReply commit(List<RowWrite> writes) {
         List<Row> present = new ArrayList<>();
         for (RowWrite write : writes) {
@@ -68,14 +80,14 @@
         }
         List<Row> written = new ArrayList<>();
         for (RowWrite write : writes) {
-            countMoves(rows.get(write.key()), (ChunkRow) write.value());
+            countMoves(rows.get(write.key()), write.value());
             written.add(put(new Row(write.key(), write.expectedVersion() + 1, write.value())));
         }
         return new StoreReply.Committed(written);
     }
 
-    private void countMoves(Row before, ChunkRow after) {
-        if (before == null) {
+    private void countMoves(Row before, RowValue written) {
+        if (before == null || !(written instanceof ChunkRow after)) {
             return;
         }
         List<SliceGrant> grants = ((ChunkRow) before.value()).grants();
