--- a/verbenamast-core/src/main/java/org/verbenamast/core/ownership/PlannedMoves.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/ownership/PlannedMoves.java
@@ -25,6 +25,8 @@
 final class PlannedMoves {
 
     private static final int MAX_MOVES = 8;
+    private static final int MAX_MOVES_PER_SECOND = 8;
+    private static final long SECOND_NANOS = Duration.ofSeconds(1).toNanos();
     private static final int MAX_MOVES_WHEN_LEAVING = 64;
     private static final long WANTED_NANOS = Duration.ofSeconds(2).toNanos();
     private static final long DRAIN_MILLIS = 2_000;
@@ -34,6 +36,8 @@
     private final Population<SliceId, SliceEvent, SliceData, SliceInput> slices;
     private final TargetPlan plan;
     private final Map<SliceId, Long> wantedSince = new HashMap<>();
+    private long secondSince;
+    private int started;
 
     PlannedMoves(
             CoreSettings settings,
@@ -105,12 +109,25 @@
         });
         wantedSince.keySet().retainAll(parting);
         parting.forEach(slice -> wantedSince.putIfAbsent(slice, now));
-        int limit = leaving() ? MAX_MOVES_WHEN_LEAVING : MAX_MOVES;
-        parting.stream()
+        List<SliceId> starting = parting.stream()
                 .filter(slice -> leaving() || now - wantedSince.get(slice) >= WANTED_NANOS)
                 .sorted(hottestFirst())
-                .limit(Math.max(0, limit - moving[0]))
-                .forEach(slice -> slices.fire(slice, SliceEvent.MOVE, moveOf(slice), now, effects));
+                .limit(allowed(moving[0], now))
+                .toList();
+        started += starting.size();
+        starting.forEach(slice -> slices.fire(slice, SliceEvent.MOVE, moveOf(slice), now, effects));
+    }
+
+    /** Returns how many moves may start now, by those under way and those started in the last second. */
+    private int allowed(int moving, long now) {
+        if (leaving()) {
+            return Math.max(0, MAX_MOVES_WHEN_LEAVING - moving);
+        }
+        if (now - secondSince >= SECOND_NANOS) {
+            secondSince = now;
+            started = 0;
+        }
+        return Math.max(0, Math.min(MAX_MOVES - moving, MAX_MOVES_PER_SECOND - started));
     }
 
     private Comparator<SliceId> hottestFirst() {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/ownership/TargetPlan.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/ownership/TargetPlan.java
@@ -15,9 +15,13 @@
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.model.ServiceSettings;
 
-/** Which member should own each slice by the rows that this node knows. Made anew only where these change. */
+/**
+ * Which member should own each slice by the rows that this node knows. Made anew only where these change, with a pause
+ * in proportion to the number of slices, so that a burst of rows does not take up the processor.
+ */
 final class TargetPlan {
 
+    private static final long PAUSE_NANOS_PER_SLICE = 20_000;
     private static final long CALM_NANOS = Duration.ofSeconds(1).toNanos();
     private static final long MAX_UNREST_NANOS = Duration.ofSeconds(5).toNanos();
 
@@ -30,6 +34,7 @@
     private List<Integer> heats = List.of();
     private List<MemberId> members = List.of();
     private long revision = -1;
+    private long nextRefresh = Long.MIN_VALUE;
     private long changedAt;
     private long restlessSince;
 
@@ -47,9 +52,10 @@
      * @param moving the next owners of this node's slices that are on their way, by slice number; they count as owners
      */
     void refresh(long now, Supplier<Map<Integer, MemberId>> moving) {
-        if (directory.revision() == revision) {
+        if (directory.revision() == revision || now < nextRefresh) {
             return;
         }
+        nextRefresh = now + service.slices() * PAUSE_NANOS_PER_SLICE;
         revision = directory.revision();
         List<MemberRow> active = directory.activeMembers(service.name());
         noteMembers(active.stream().map(MemberRow::id).toList(), now);
@@ -82,16 +88,28 @@
 
     private void findClaimable() {
         claimable.clear();
-        for (int slice = 0; slice < targets.size(); slice++) {
-            int chunk = service.chunkOf(slice);
-            SliceGrant grant = directory.chunk(service, chunk).grants().get(slice - chunk * service.chunkSlices());
-            boolean free = grant.owner().isNone() || directory.ended(grant.owner());
-            if (free && targets.get(slice).equals(self)) {
+        if (targets.isEmpty()) {
+            return;
+        }
+        for (int chunk = 0; chunk < service.chunks(); chunk++) {
+            if (mayClaimIn(directory.chunk(service, chunk))) {
                 claimable.add(chunk);
             }
         }
     }
 
+    private boolean mayClaimIn(ChunkRow chunk) {
+        int first = chunk.chunk() * service.chunkSlices();
+        for (int i = 0; i < chunk.grants().size(); i++) {
+            MemberId owner = chunk.grants().get(i).owner();
+            boolean mine = targets.get(first + i).equals(self);
+            if (mine && (owner.isNone() || directory.ended(owner))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Tells whether members have stopped coming and going, or whether waiting for that has taken too long. */
     boolean settled(long now) {
         return now - changedAt >= CALM_NANOS || now - restlessSince >= MAX_UNREST_NANOS;
--- a/verbenamast-core/src/test/java/org/verbenamast/core/ownership/MoveMeasuresTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/ownership/MoveMeasuresTest.java
@@ -17,6 +17,7 @@
     private static final long SEED = 20_261_204;
     private static final int MEMBERS = 6;
     private static final ServiceSettings STOCK = new ServiceSettings(new ServiceName("stock"), true, 96, 16, true);
+    private static final Duration JOIN_EVERY = Duration.ofMillis(200);
     private static final Duration CALM = Duration.ofSeconds(30);
     private static final Duration TAKE_OVER = Duration.ofSeconds(3);
     private static final double ORDINARY_RATE = 20;
@@ -127,6 +128,26 @@
         checkAgainstBaselines(Scenario.LOSS);
     }
 
+    @Test
+    void should_move_nothing_when_members_start_one_after_another() {
+        OwnerFleet fleet = startFleet(AssignmentPolicy.BALANCED);
+        fleet.runFor(CALM);
+        System.out.printf(
+                "measure: START BALANCED: moves %d of 0, owned %s%n",
+                fleet.store().moves(), owned(fleet));
+        assertThat(fleet.store().moves()).isZero();
+        assertThat(owned(fleet)).containsOnly(STOCK.slices() / MEMBERS);
+    }
+
+    private static OwnerFleet startFleet(AssignmentPolicy policy) {
+        OwnerFleet fleet = new OwnerFleet(STOCK, new OwnershipRules(policy, MemberWeights.EVEN), SEED);
+        for (int member = 0; member < MEMBERS; member++) {
+            fleet.join();
+            fleet.runFor(JOIN_EVERY);
+        }
+        return fleet;
+    }
+
     private void checkAgainstBaselines(Scenario scenario) {
         Measured balanced = measure(scenario, AssignmentPolicy.BALANCED);
         Measured roundRobin = measure(scenario, AssignmentPolicy.ROUND_ROBIN);
@@ -157,11 +178,7 @@
     }
 
     private static Measured measure(Scenario scenario, AssignmentPolicy policy) {
-        OwnerFleet fleet = new OwnerFleet(STOCK, new OwnershipRules(policy, MemberWeights.EVEN), SEED);
-        for (int member = 0; member < MEMBERS; member++) {
-            fleet.join();
-            fleet.runFor(Duration.ofMillis(200));
-        }
+        OwnerFleet fleet = startFleet(policy);
         for (int slice = 0; slice < STOCK.slices(); slice++) {
             fleet.rate(slice, ORDINARY_RATE);
         }
--- a/verbenamast-core/src/test/java/org/verbenamast/core/ownership/PlannedMovesTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/ownership/PlannedMovesTest.java
@@ -108,6 +108,20 @@
         assertThat(fleet.twice()).isZero();
     }
 
+    @Test
+    void should_start_a_few_moves_a_second_when_many_slices_have_to_move() {
+        fleet = fleetOfOne(new ServiceSettings(new ServiceName("stock"), true, 96, 16, true));
+        fleet.join();
+        int most = 0;
+        for (int second = 0; second < 30; second++) {
+            int before = fleet.store().moves();
+            fleet.runFor(Duration.ofSeconds(1));
+            most = Math.max(most, fleet.store().moves() - before);
+        }
+        assertThat(fleet.store().moves()).isEqualTo(48);
+        assertThat(most).isLessThanOrEqualTo(16);
+    }
+
     @Test
     void should_give_its_slices_up_when_the_last_member_leaves() {
         fleet.leave(first());
