--- a/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Plans.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Plans.java
@@ -11,7 +11,7 @@
     /** The service without keys. */
     public static final String FREE = "booking";
 
-    private static final int BASE_PORT = 24_000;
+    private static final int BASE_PORT = Integer.getInteger("verbenamast.basePort", 24_000);
     private static final int SLICES_PER_SERVER = 16;
     private static final int CHUNK_SLICES = 16;
     private static final int SLOTS = 10;
