--- /dev/null
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/check/Workload.java
@@ -0,0 +1,159 @@
+package org.verbenamast.it.check;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.Queue;
+import java.util.Random;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.verbenamast.it.deploy.DeploymentPlan;
+import org.verbenamast.it.deploy.DeploymentPlan.HostPlan;
+import org.verbenamast.it.deploy.Http;
+import org.verbenamast.it.deploy.Plans;
+
+/** Callers of the keyed service: they ask at a fixed rate until the workload is closed, and keep what they got. */
+public final class Workload implements AutoCloseable {
+
+    private static final long MICROS_PER_SECOND = 1_000_000;
+    private static final long NANOS_PER_MICRO = 1_000;
+    private static final long PATIENCE_MILLIS = 20_000;
+    private static final int KEYS = 500;
+    private static final int MAX_BYTES = 4_096;
+    private static final int ORDERS_ONE_IN = 4;
+    private static final Duration TIMEOUT = Duration.ofSeconds(12);
+
+    private final List<HostPlan> hosts;
+    private final Random random;
+    private final HttpClient http = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(1))
+            .build();
+    private final Queue<Ask> asks = new ConcurrentLinkedQueue<>();
+    private final AtomicLong sent = new AtomicLong();
+    private final ScheduledExecutorService clock = Executors.newSingleThreadScheduledExecutor();
+
+    private Workload(DeploymentPlan plan, long seed) {
+        this.hosts = plan.hosts();
+        this.random = new Random(seed);
+    }
+
+    /**
+     * Starts to ask.
+     *
+     * @param plan the deployment
+     * @param rate requests per second
+     * @param seed the seed of the random choices
+     * @return the workload, which is to be closed
+     */
+    public static Workload start(DeploymentPlan plan, int rate, long seed) {
+        Workload workload = new Workload(plan, seed);
+        workload.clock.scheduleAtFixedRate(workload::ask, 0, MICROS_PER_SECOND / rate, TimeUnit.MICROSECONDS);
+        return workload;
+    }
+
+    private void ask() {
+        String key = "key-" + random.nextInt(KEYS);
+        boolean order = random.nextInt(ORDERS_ONE_IN) == 0;
+        int bytes = order ? 0 : 1 + random.nextInt(MAX_BYTES);
+        Question question = new Question(key, order ? "POST" : "GET", bytes, "ask-" + sent.incrementAndGet());
+        send(question, random.nextInt(hosts.size()), hosts.size());
+    }
+
+    private record Question(String key, String method, int bytes, String id) {
+
+        HttpRequest to(HostPlan host) {
+            String query = bytes == 0 ? "" : "?bytes=" + bytes;
+            return Http.to(host.callers(), "/" + Plans.KEYED + path() + query)
+                    .header("Verbenamast-Key", key)
+                    .header("Idempotency-Key", id)
+                    .method(method, HttpRequest.BodyPublishers.noBody())
+                    .timeout(TIMEOUT)
+                    .build();
+        }
+
+        String path() {
+            return "/items/" + key;
+        }
+    }
+
+    /** Asks a node; where it takes no connection, nothing was sent, and the next node is asked. */
+    private void send(Question question, int first, int tries) {
+        long start = micros();
+        HostPlan host = hosts.get(first % hosts.size());
+        http.sendAsync(question.to(host), HttpResponse.BodyHandlers.ofByteArray())
+                .whenComplete((answer, e) -> {
+                    if (e != null && isNotConnected(e) && tries > 1) {
+                        send(question, first + 1, tries - 1);
+                    } else {
+                        asks.add(ended(question, start, answer, e));
+                    }
+                });
+    }
+
+    private static boolean isNotConnected(Throwable e) {
+        return e instanceof ConnectException || e.getCause() instanceof ConnectException;
+    }
+
+    private static Ask ended(Question question, long start, HttpResponse<byte[]> answer, Throwable e) {
+        if (e != null) {
+            AskOutcome outcome = isNotConnected(e) ? AskOutcome.NOT_SENT : AskOutcome.CUT_OFF;
+            return ask(question, start, outcome, e.toString(), new byte[0]);
+        }
+        AskOutcome outcome = AskOutcome.of(header(answer, "Verbenamast-Outcome"));
+        return ask(question, start, outcome, header(answer, "Verbenamast-Reason"), answer.body());
+    }
+
+    private static Ask ask(Question question, long start, AskOutcome outcome, String reason, byte[] body) {
+        return new Ask(
+                question.key(),
+                question.method(),
+                question.path(),
+                question.bytes(),
+                question.id(),
+                start,
+                micros(),
+                outcome,
+                reason,
+                body);
+    }
+
+    private static String header(HttpResponse<?> answer, String name) {
+        return answer.headers().firstValue(name).orElse("");
+    }
+
+    private static long micros() {
+        return System.nanoTime() / NANOS_PER_MICRO;
+    }
+
+    /**
+     * Stops to ask and waits for the last answers.
+     *
+     * @return all requests and what came of them
+     * @throws IOException where a request never ends
+     */
+    public List<Ask> finish() throws IOException {
+        close();
+        org.verbenamast.it.deploy.Deployment.await(
+                "all requests have ended", PATIENCE_MILLIS, () -> asks.size() == sent.get());
+        return List.copyOf(asks);
+    }
+
+    @Override
+    public void close() {
+        clock.shutdown();
+        try {
+            clock.awaitTermination(1, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Deployment.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Deployment.java
@@ -77,9 +77,9 @@
 
     private void startProxy() throws IOException {
         List<String> args = new ArrayList<>(List.of("proxy", "--control", proxyControl()));
-        args.add("--route");
-        args.add("platform=" + wiring.platform(plan) + "=" + plan.platform());
         for (DeploymentPlan.HostPlan host : plan.hosts()) {
+            args.add("--route");
+            args.add(host.platformRoute() + "=" + wiring.platform(host) + "=" + plan.platform());
             args.add("--route");
             args.add(host.name() + "=" + host.peerProxy() + "=" + host.peers());
         }
@@ -126,13 +126,25 @@
                 "--slots",
                 Integer.toString(host.service().slots()),
                 "--service-millis",
-                Integer.toString(host.service().serviceMillis())));
+                Integer.toString(host.service().serviceMillis()),
+                "--record",
+                record(host).toString()));
         if (!host.service().fenced()) {
             args.add("--unfenced");
         }
         run("server " + host.name(), programs.standin("server-" + host.name(), args));
     }
 
+    /**
+     * Returns the file in which a backend server records what reached it.
+     *
+     * @param host the host
+     * @return the file, which may not be there yet
+     */
+    public Path record(DeploymentPlan.HostPlan host) {
+        return folder.resolve("record-" + host.name() + ".jsonl");
+    }
+
     private void run(String name, Process process) {
         processes.put(name, process);
     }
--- a/verbenamast-it/src/main/java/org/verbenamast/it/deploy/DeploymentPlan.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/deploy/DeploymentPlan.java
@@ -22,6 +22,7 @@
     private static final int PEER_PORTS = 300;
     private static final int SERVER_PORTS = 400;
     private static final int PROXY_PORTS = 500;
+    private static final int PLATFORM_PROXY_PORTS = 600;
 
     /** Copies the lists. */
     public DeploymentPlan {
@@ -134,5 +135,23 @@
         public String peerProxy() {
             return at(PROXY_PORTS);
         }
+
+        /**
+         * Returns where a proxy between the node and the platform listens.
+         *
+         * @return an address
+         */
+        public String platformProxy() {
+            return at(PLATFORM_PROXY_PORTS);
+        }
+
+        /**
+         * Returns the name of the proxy's route between the node and the platform.
+         *
+         * @return the route's name
+         */
+        public String platformRoute() {
+            return "platform-" + name;
+        }
     }
 }
--- a/verbenamast-it/src/main/java/org/verbenamast/it/deploy/NodeSettingsFile.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/deploy/NodeSettingsFile.java
@@ -25,7 +25,7 @@
         settings.put("operators", host.operators());
         settings.put("peers", host.peers());
         settings.put("advertise", wiring.advertised(host));
-        settings.put("platform", wiring.platform(host.plan()));
+        settings.put("platform", wiring.platform(host));
         ArrayNode seeds = settings.putArray("seeds");
         host.plan().hosts().stream().limit(SEEDS).forEach(seed -> seeds.add(wiring.advertised(seed)));
         ArrayNode services = settings.putArray("services");
--- a/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Wiring.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Wiring.java
@@ -10,8 +10,8 @@
         }
 
         @Override
-        String platform(DeploymentPlan plan) {
-            return plan.platform();
+        String platform(DeploymentPlan.HostPlan host) {
+            return host.plan().platform();
         }
     },
     /** The fault-injecting proxy stands between nodes, and between nodes and the platform. */
@@ -22,12 +22,12 @@
         }
 
         @Override
-        String platform(DeploymentPlan plan) {
-            return "127.0.0.1:" + (plan.basePort() + 1);
+        String platform(DeploymentPlan.HostPlan host) {
+            return host.platformProxy();
         }
     };
 
     abstract String advertised(DeploymentPlan.HostPlan host);
 
-    abstract String platform(DeploymentPlan plan);
+    abstract String platform(DeploymentPlan.HostPlan host);
 }
--- a/verbenamast-standins/src/main/java/org/verbenamast/standins/server/Run.java
+++ b/verbenamast-standins/src/main/java/org/verbenamast/standins/server/Run.java
@@ -12,9 +12,10 @@
  * @param idempotencyKey the caller's key for resends, or an empty text
  * @param startMicros when it started, on the clock that all processes of the machine share, in microseconds
  * @param atOnce how many requests ran at once, this one included
- * @param kind how the backend server took it: {@code ran}, {@code fenced}, {@code shed} or {@code drained}
+ * @param kind how the backend server took it: {@code ran}, {@code fenced}, {@code shed},
+ *     {@code drained}, or {@code ended} for the end of a run
  */
-record Run(
+public record Run(
         String request,
         String key,
         int slice,
--- a/verbenamast-standins/src/main/java/org/verbenamast/standins/server/ServerOptions.java
+++ b/verbenamast-standins/src/main/java/org/verbenamast/standins/server/ServerOptions.java
@@ -37,6 +37,9 @@
     @Parameter(names = "--warm-after", description = "how many requests make it warm")
     private int warmAfter = 100;
 
+    @Parameter(names = "--record", description = "append each run to this file, as JSON lines")
+    private String record = "";
+
     String listen() {
         return listen;
     }
@@ -72,4 +75,8 @@
     int warmAfter() {
         return warmAfter;
     }
+
+    String record() {
+        return record;
+    }
 }
--- a/verbenamast-standins/src/main/java/org/verbenamast/standins/server/ServerStandin.java
+++ b/verbenamast-standins/src/main/java/org/verbenamast/standins/server/ServerStandin.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -35,7 +34,7 @@
     private final ServerOptions options;
     private final HttpServer server;
     private final String start = UUID.randomUUID().toString();
-    private final List<Run> runs = new ArrayList<>();
+    private final RunLog runs;
     private final Map<String, byte[]> values = new HashMap<>();
     private final Map<Integer, Long> epochs = new HashMap<>();
     private int running;
@@ -49,12 +48,14 @@
      *
      * @param eventloop the one event loop of the process
      * @param options the options
+     * @throws IOException where the file for the record can't be opened
      */
-    public ServerStandin(Eventloop eventloop, ServerOptions options) {
+    public ServerStandin(Eventloop eventloop, ServerOptions options) throws IOException {
         this.eventloop = eventloop;
         this.options = options;
+        this.runs = new RunLog(options.record());
         RoutingServlet routes = RoutingServlet.builder(eventloop)
-                .with(HttpMethod.GET, "/control/record", request -> json(runs))
+                .with(HttpMethod.GET, "/control/record", request -> json(runs.runs()))
                 .with(HttpMethod.POST, "/control/cancel", request -> json(List.of()))
                 .with(HttpMethod.POST, "/control/drain", request -> drain())
                 .with(HttpMethod.POST, "/control/cold", request -> chill())
@@ -110,10 +111,11 @@
         return request.loadBody(MAX_BODY_BYTES)
                 .then(body -> Promises.delay(serviceMillis(), body.getArray()))
                 .map(body -> answer(request, body))
-                .whenComplete(this::finished);
+                .whenComplete(() -> finished(request));
     }
 
-    private void finished() {
+    private void finished(HttpRequest request) {
+        record(request, "ended");
         running--;
         warmth++;
     }
