--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/Gate.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/Gate.java
@@ -1,6 +1,8 @@
 package org.verbenamast.core.gate;
 
 import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.gate.runs.RunStanding;
+import org.verbenamast.core.request.RequestOutcome;
 
 /** What the chart of a request may ask of and do at the way into the backend server. */
 public interface Gate {
@@ -14,6 +16,50 @@
      */
     boolean mayServe(ServeData data, long now);
 
+    /**
+     * Tells what is known of the runs of a request.
+     *
+     * @param data the request
+     * @return what is known; {@link RunStanding#FRESH} for an idempotent request
+     */
+    RunStanding standing(ServeData data);
+
+    /**
+     * Returns how the recorded run of a request ended.
+     *
+     * @param data the request, whose standing is {@link RunStanding#ENDED}
+     * @return the outcome
+     */
+    RequestOutcome recorded(ServeData data);
+
+    /**
+     * Lets a request wait for the run of another send.
+     *
+     * @param data the request
+     */
+    void follow(ServeData data);
+
+    /**
+     * Lets a request no longer wait for the run of another send.
+     *
+     * @param data the request
+     */
+    void unfollow(ServeData data);
+
+    /**
+     * Tells whether the backend server takes new work at all.
+     *
+     * @return whether it is there and not draining
+     */
+    boolean isOpen();
+
+    /**
+     * Estimates how long one more request would wait.
+     *
+     * @return the time until the backend server can take it, in nanoseconds
+     */
+    long expectedWaitNanos();
+
     /**
      * Tells whether the backend server may be given one more request.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServeAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServeAction.java
@@ -50,11 +50,69 @@
             return data;
         }
     },
-    /** Tells the sender how the call to the backend server ended. */
+    /** Notes that the sender tries again. */
+    TAKE_ATTEMPT {
+        @Override
+        public ServeData apply(ServeData data, ServeInput input, long now, Effects effects) {
+            return data.withAttempt(Math.max(data.attempt(), input.attempt()));
+        }
+    },
+    /** Waits for the run of another send. */
+    FOLLOW {
+        @Override
+        public ServeData apply(ServeData data, ServeInput input, long now, Effects effects) {
+            input.gate().follow(data);
+            return data;
+        }
+    },
+    /** Waits no longer for the run of another send. */
+    UNFOLLOW {
+        @Override
+        public ServeData apply(ServeData data, ServeInput input, long now, Effects effects) {
+            input.gate().unfollow(data);
+            return data;
+        }
+    },
+    /** Tells the sender how the run of an earlier send ended. */
+    REPLY_RECORDED {
+        @Override
+        public ServeData apply(ServeData data, ServeInput input, long now, Effects effects) {
+            return reply(data, input.gate().recorded(data), effects);
+        }
+    },
+    /** Tells the sender that an earlier send may have run. */
+    REPLY_UNCERTAIN {
+        @Override
+        public ServeData apply(ServeData data, ServeInput input, long now, Effects effects) {
+            return reply(data, new RequestOutcome.Unknown(UnknownReason.EARLIER_OWNER), effects);
+        }
+    },
+    /** Tells the sender to try again when the earlier owner's records are here. */
+    REFUSE_UNTIL_RECORDED {
+        @Override
+        public ServeData apply(ServeData data, ServeInput input, long now, Effects effects) {
+            return reply(data, new RequestOutcome.NotRun(NotRunReason.RECORDS_AWAITED), effects);
+        }
+    },
+    /** Tells the sender that the backend server takes no new work. */
+    REFUSE_CLOSED {
+        @Override
+        public ServeData apply(ServeData data, ServeInput input, long now, Effects effects) {
+            return reply(data, new RequestOutcome.NotRun(NotRunReason.SERVER_UNREACHABLE), effects);
+        }
+    },
+    /** Tells the sender that the wait would outlast the deadline. */
+    REFUSE_HOPELESS {
+        @Override
+        public ServeData apply(ServeData data, ServeInput input, long now, Effects effects) {
+            return reply(data, new RequestOutcome.NotRun(NotRunReason.WAIT_TOO_LONG), effects);
+        }
+    },
+    /** Tells the sender how the run ended. */
     REPLY_OUTCOME {
         @Override
         public ServeData apply(ServeData data, ServeInput input, long now, Effects effects) {
-            return reply(data, input.reply().kind().outcome(input.reply()), effects);
+            return reply(data, input.outcome(), effects);
         }
     },
     /** Tells the sender that this node may not have the request run. */
@@ -87,7 +145,7 @@
     };
 
     private static ServeData reply(ServeData data, RequestOutcome outcome, Effects effects) {
-        effects.emit(new Effect.SendToPeer(data.from(), new PeerMessage.Ended(data.id(), outcome)));
+        effects.emit(new Effect.SendToPeer(data.from(), new PeerMessage.Ended(data.id(), data.attempt(), outcome)));
         return data;
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServeDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServeDesk.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 
 import org.verbenamast.core.chart.Chart;
+import org.verbenamast.core.chart.Instance;
 import org.verbenamast.core.chart.NoTag;
 import org.verbenamast.core.chart.Population;
 import org.verbenamast.core.chart.TransitionListener;
@@ -12,6 +13,12 @@
 import org.verbenamast.core.chart.file.ChartReader;
 import org.verbenamast.core.effect.Effect;
 import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.gate.limit.RampSettings;
+import org.verbenamast.core.gate.limit.ServerDesk;
+import org.verbenamast.core.gate.runs.RunDesk;
+import org.verbenamast.core.gate.runs.RunKey;
+import org.verbenamast.core.gate.runs.RunLimits;
+import org.verbenamast.core.gate.runs.RunStanding;
 import org.verbenamast.core.membership.MemberDesk;
 import org.verbenamast.core.membership.MemberTag;
 import org.verbenamast.core.membership.ServerAnnouncement;
@@ -22,6 +29,8 @@
 import org.verbenamast.core.model.SliceId;
 import org.verbenamast.core.node.CoreSettings;
 import org.verbenamast.core.ownership.OwnershipDesk;
+import org.verbenamast.core.request.CallerRequest;
+import org.verbenamast.core.request.RequestOutcome;
 
 /** The requests that the backend server beside this node is to run, and the only way to it. */
 public final class ServeDesk implements Gate {
@@ -30,14 +39,18 @@
     public static final Vocabulary<ServeEvent, ServeGuard, ServeAction, ServeTimer, NoTag> VOCABULARY =
             new Vocabulary<>(ServeEvent.class, ServeGuard.class, ServeAction.class, ServeTimer.class, NoTag.class);
 
+    private static final int NO_SLICE = -1;
+
     private final CoreSettings settings;
     private final ServiceSettings service;
     private final MemberDesk member;
     private final OwnershipDesk ownership;
+    private final RunDesk runs;
+    private final ServerDesk server;
     private final Population<RequestId, ServeEvent, ServeData, ServeInput> requests;
     private final Set<RequestId> queue = new LinkedHashSet<>();
-    private final ServeInput plain = new ServeInput(this, null);
-    private int running;
+    private final Followers followers = new Followers();
+    private final ServeInput plain = ServeInput.plain(this);
 
     /**
      * Makes a desk without requests.
@@ -52,6 +65,8 @@
         this.service = settings.serviceOf(settings.service()).orElseThrow();
         this.member = Objects.requireNonNull(member, "member");
         this.ownership = Objects.requireNonNull(ownership, "ownership");
+        this.runs = new RunDesk(settings.self(), service, RunLimits.DEFAULT, listener);
+        this.server = new ServerDesk(settings.self(), RampSettings.DEFAULT, listener);
         Chart<ServeEvent, ServeData, ServeInput> chart = ChartReader.bundled("serve", VOCABULARY);
         this.requests = new Population<>(chart, event -> plain, listener);
     }
@@ -65,13 +80,22 @@
      * @param effects the sink of the effects
      */
     public void offered(MemberId from, PeerMessage.Forward forward, long now, Effects effects) {
+        ServeInput input = ServeInput.offered(this, forward.attempt());
         if (requests.find(forward.id()) != null) {
+            requests.fire(forward.id(), ServeEvent.OFFERED_AGAIN, input, now, effects);
             return;
         }
-        SliceId slice = service.keyed() ? service.sliceOf(forward.request().key()) : null;
+        server.review(now, effects);
+        requests.begin(forward.id(), dataOf(from, forward, now), now);
+        requests.fire(forward.id(), ServeEvent.OFFERED, input, now, effects);
+    }
+
+    private ServeData dataOf(MemberId from, PeerMessage.Forward forward, long now) {
+        CallerRequest request = forward.request();
+        SliceId slice = request.slice(service).orElse(null);
+        RunKey run = request.method().idempotent() ? null : RunKey.of(forward.id(), request, slice);
         long deadline = now + forward.remainingNanos();
-        requests.begin(forward.id(), new ServeData(forward.id(), from, forward.request(), slice, deadline), now);
-        requests.fire(forward.id(), ServeEvent.OFFERED, plain, now, effects);
+        return new ServeData(forward.id(), forward.attempt(), from, request, slice, run, deadline);
     }
 
     /**
@@ -83,25 +107,49 @@
      * @param effects the sink of the effects
      */
     public void replied(RequestId id, ServerReply reply, long now, Effects effects) {
-        requests.fire(id, ServeEvent.SERVER_REPLIED, new ServeInput(this, reply), now, effects);
+        Instance<ServeData> request = requests.find(id);
+        ServeInput input = ServeInput.replied(this, reply);
+        server.review(now, effects);
+        boolean ended = requests.fire(id, ServeEvent.SERVER_REPLIED, input, now, effects);
+        if (ended && request.data().run() != null) {
+            followers
+                    .of(request.data().run())
+                    .forEach(other -> requests.fire(other, ServeEvent.RUN_ENDED, input, now, effects));
+        }
         admitNext(now, effects);
     }
 
     private void admitNext(long now, Effects effects) {
-        while (hasSlot() && !queue.isEmpty()) {
+        while (!queue.isEmpty() && (hasSlot() || !isOpen())) {
             requests.fire(queue.iterator().next(), ServeEvent.SLOT_FREED, plain, now, effects);
         }
     }
 
+    /**
+     * Takes an announcement of the backend server.
+     *
+     * @param announcement the announcement
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void announced(ServerAnnouncement announcement, long now, Effects effects) {
+        server.announced(announcement, now, effects);
+        admitNext(now, effects);
+    }
+
     /**
      * Gives up a request for which nobody waits any more.
      *
      * @param id the request's identity
+     * @param attempt the number of the try that is given up
      * @param now the monotonic time, in nanoseconds
      * @param effects the sink of the effects
      */
-    public void cancelled(RequestId id, long now, Effects effects) {
-        requests.fire(id, ServeEvent.CANCELLED, plain, now, effects);
+    public void cancelled(RequestId id, int attempt, long now, Effects effects) {
+        Instance<ServeData> request = requests.find(id);
+        if (request != null && request.data().attempt() <= attempt) {
+            requests.fire(id, ServeEvent.CANCELLED, plain, now, effects);
+        }
     }
 
     /**
@@ -112,6 +160,9 @@
      */
     public void advance(long now, Effects effects) {
         requests.advance(now, effects);
+        runs.advance(now, effects);
+        server.advance(now, effects);
+        admitNext(now, effects);
     }
 
     /**
@@ -120,7 +171,25 @@
      * @return the monotonic time, in nanoseconds
      */
     public long nextDue() {
-        return requests.nextDue();
+        return Math.min(requests.nextDue(), Math.min(runs.nextDue(), server.nextDue()));
+    }
+
+    /**
+     * Returns the backend server beside this node.
+     *
+     * @return the desk that keeps what is known of it
+     */
+    public ServerDesk server() {
+        return server;
+    }
+
+    /**
+     * Returns the records of the non-idempotent requests that ran here.
+     *
+     * @return the desk that keeps them
+     */
+    public RunDesk runs() {
+        return runs;
     }
 
     /**
@@ -129,7 +198,7 @@
      * @return the number
      */
     public int running() {
-        return running;
+        return server.running();
     }
 
     /**
@@ -149,10 +218,39 @@
         return data.slice() == null ? !member.is(MemberTag.STOPPING) : ownership.admits(data.slice(), now);
     }
 
+    @Override
+    public RunStanding standing(ServeData data) {
+        return data.run() == null ? RunStanding.FRESH : runs.standing(data.run(), data.id());
+    }
+
+    @Override
+    public RequestOutcome recorded(ServeData data) {
+        return runs.outcome(data.run());
+    }
+
+    @Override
+    public void follow(ServeData data) {
+        followers.add(data.run(), data.id());
+    }
+
+    @Override
+    public void unfollow(ServeData data) {
+        followers.remove(data.run(), data.id());
+    }
+
+    @Override
+    public boolean isOpen() {
+        return server.open();
+    }
+
+    @Override
+    public long expectedWaitNanos() {
+        return server.expectedWaitNanos(queue.size());
+    }
+
     @Override
     public boolean hasSlot() {
-        ServerAnnouncement server = member.server();
-        return server != null && running < server.slots();
+        return member.server() != null && server.hasSlot();
     }
 
     @Override
@@ -162,14 +260,16 @@
 
     @Override
     public void call(ServeData data, long now, Effects effects) {
-        running++;
-        int slice = -1;
-        long epoch = 0;
+        server.started(data.id(), now);
+        if (data.run() != null) {
+            runs.begun(data.run(), data.id(), now);
+        }
         if (data.slice() != null) {
-            slice = data.slice().number();
-            epoch = ownership.epoch(data.slice());
             ownership.started(data.slice(), now, effects);
         }
+        boolean keyed = data.slice() != null && service.keyed();
+        int slice = keyed ? data.slice().number() : NO_SLICE;
+        long epoch = keyed ? ownership.epoch(data.slice()) : 0;
         long remaining = data.deadline() - now;
         effects.emit(
                 new Effect.CallServer(data.id(), member.server().address(), data.request(), slice, epoch, remaining));
@@ -177,7 +277,10 @@
 
     @Override
     public void release(ServeData data, ServerReply reply, long now, Effects effects) {
-        running--;
+        server.ended(data.id(), reply.kind(), now, effects);
+        if (data.run() != null) {
+            runs.ended(data.run(), reply.kind().outcome(reply), now, effects);
+        }
         if (data.slice() != null) {
             ownership.finished(data.slice(), now, effects);
         }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServeEvent.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServeEvent.java
@@ -4,8 +4,12 @@
 public enum ServeEvent {
     /** The request has come in. */
     OFFERED,
-    /** The backend server has room for one more request. */
+    /** The sender tries again a request that is still here. */
+    OFFERED_AGAIN,
+    /** The backend server has room for one more request, or takes none any more. */
     SLOT_FREED,
+    /** The run of another send under the same idempotency key ended. */
+    RUN_ENDED,
     /** The backend server is done with the request. */
     SERVER_REPLIED,
     /** The deadline passed. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServeGuard.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServeGuard.java
@@ -1,6 +1,7 @@
 package org.verbenamast.core.gate;
 
 import org.verbenamast.core.chart.Guard;
+import org.verbenamast.core.gate.runs.RunStanding;
 
 /** The conditions in the chart of a request at the member whose backend server is to run it. */
 public enum ServeGuard implements Guard<ServeData, ServeInput> {
@@ -11,6 +12,48 @@
             return !input.gate().mayServe(data, now);
         }
     },
+    /** The records of the key's earlier owner are on their way. */
+    RECORDS_AWAITED {
+        @Override
+        public boolean permits(ServeData data, ServeInput input, long now) {
+            return input.gate().standing(data) == RunStanding.AWAITED;
+        }
+    },
+    /** A send of the request ran, and how it ended is known. */
+    RUN_ENDED {
+        @Override
+        public boolean permits(ServeData data, ServeInput input, long now) {
+            return input.gate().standing(data) == RunStanding.ENDED;
+        }
+    },
+    /** The backend server has another send of the request. */
+    RUN_UNDER_WAY {
+        @Override
+        public boolean permits(ServeData data, ServeInput input, long now) {
+            return input.gate().standing(data) == RunStanding.UNDER_WAY;
+        }
+    },
+    /** A send of the request may have run, and nothing tells. */
+    RUN_UNCERTAIN {
+        @Override
+        public boolean permits(ServeData data, ServeInput input, long now) {
+            return input.gate().standing(data) == RunStanding.UNCERTAIN;
+        }
+    },
+    /** One more run can't be recorded. */
+    RECORDS_FULL {
+        @Override
+        public boolean permits(ServeData data, ServeInput input, long now) {
+            return input.gate().standing(data) == RunStanding.FULL;
+        }
+    },
+    /** The backend server takes no new work. */
+    SERVER_CLOSED {
+        @Override
+        public boolean permits(ServeData data, ServeInput input, long now) {
+            return !input.gate().isOpen();
+        }
+    },
     /** The backend server may be given one more request. */
     SLOT_FREE {
         @Override
@@ -18,6 +61,13 @@
             return input.gate().hasSlot();
         }
     },
+    /** The wait would outlast the deadline. */
+    HOPELESS {
+        @Override
+        public boolean permits(ServeData data, ServeInput input, long now) {
+            return now + input.gate().expectedWaitNanos() > data.deadline();
+        }
+    },
     /** One more request may wait. */
     QUEUE_OPEN {
         @Override
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServeInput.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServeInput.java
@@ -2,16 +2,32 @@
 
 import java.util.Objects;
 
+import org.verbenamast.core.request.RequestOutcome;
+
 /**
  * What an event tells a request at the member whose backend server is to run it.
  *
- * @param gate the backend server's limits and queue
+ * @param gate the backend server's limits, queue and records
+ * @param outcome how the run ended, or null for other events
  * @param reply how the call to the backend server ended, or null for other events
+ * @param attempt the number of the try that came in, or 0 for other events
  */
-public record ServeInput(Gate gate, ServerReply reply) {
+public record ServeInput(Gate gate, RequestOutcome outcome, ServerReply reply, int attempt) {
 
     /** Checks the gate. */
     public ServeInput {
         Objects.requireNonNull(gate, "gate");
     }
+
+    static ServeInput plain(Gate gate) {
+        return new ServeInput(gate, null, null, 0);
+    }
+
+    static ServeInput replied(Gate gate, ServerReply reply) {
+        return new ServeInput(gate, reply.kind().outcome(reply), reply, 0);
+    }
+
+    static ServeInput offered(Gate gate, int attempt) {
+        return new ServeInput(gate, null, null, attempt);
+    }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServerReplyKind.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServerReplyKind.java
@@ -1,5 +1,6 @@
 package org.verbenamast.core.gate;
 
+import org.verbenamast.core.gate.limit.ServerEvent;
 import org.verbenamast.core.request.NotRunReason;
 import org.verbenamast.core.request.RequestOutcome;
 import org.verbenamast.core.request.UnknownReason;
@@ -7,34 +8,49 @@
 /** The ways in which a call to the backend server may end. */
 public enum ServerReplyKind {
     /** The backend server answered. */
-    ANSWERED {
+    ANSWERED(ServerEvent.SUCCEEDED) {
         @Override
         public RequestOutcome outcome(ServerReply reply) {
             return reply.answer();
         }
     },
     /** The backend server refused the request without running it. */
-    SHED {
+    SHED(ServerEvent.SHED) {
         @Override
         public RequestOutcome outcome(ServerReply reply) {
             return new RequestOutcome.NotRun(NotRunReason.SHED);
         }
     },
     /** The backend server was never given the request. */
-    UNREACHABLE {
+    UNREACHABLE(ServerEvent.CONNECTION_FAILED) {
         @Override
         public RequestOutcome outcome(ServerReply reply) {
             return new RequestOutcome.NotRun(NotRunReason.SERVER_UNREACHABLE);
         }
     },
     /** The connection broke while the backend server had the request. */
-    LOST {
+    LOST(ServerEvent.CONNECTION_FAILED) {
         @Override
         public RequestOutcome outcome(ServerReply reply) {
             return new RequestOutcome.Unknown(UnknownReason.SERVER_LOST);
         }
     };
 
+    private final ServerEvent serverEvent;
+
+    ServerReplyKind(ServerEvent serverEvent) {
+        this.serverEvent = serverEvent;
+    }
+
+    /**
+     * Returns what this end says of the backend server.
+     *
+     * @return the event in the backend server's chart
+     */
+    public ServerEvent serverEvent() {
+        return serverEvent;
+    }
+
     /**
      * Derives the request's outcome.
      *
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/limit/ServerTag.java
@@ -0,0 +1,11 @@
+package org.verbenamast.core.gate.limit;
+
+/** The marks that the chart of the backend server gives its states. */
+public enum ServerTag {
+    /** The backend server may be given requests. */
+    OPEN,
+    /** The backend server may fall over under its full load. */
+    COLD,
+    /** The backend server can't be reached. */
+    UNREACHABLE
+}
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Decides how many requests the backend server beside a node may run at once. */
+package org.verbenamast.core.gate.limit;
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/runs/KeptRun.java
@@ -0,0 +1,24 @@
+package org.verbenamast.core.gate.runs;
+
+import java.util.Objects;
+
+import org.verbenamast.core.check.Checks;
+import org.verbenamast.core.model.RequestId;
+import org.verbenamast.core.request.RequestOutcome;
+
+/**
+ * The record of a run, as the owner of a slice passes it to the next owner.
+ *
+ * @param idempotencyKey the idempotency key
+ * @param id the identity of the send that ran
+ * @param outcome how it ended
+ */
+public record KeptRun(String idempotencyKey, RequestId id, RequestOutcome outcome) {
+
+    /** Checks the parts. */
+    public KeptRun {
+        Checks.notBlank("idempotencyKey", idempotencyKey);
+        Objects.requireNonNull(id, "id");
+        Objects.requireNonNull(outcome, "outcome");
+    }
+}
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/runs/RunAction.java
@@ -0,0 +1,23 @@
+package org.verbenamast.core.gate.runs;
+
+import org.verbenamast.core.chart.Action;
+import org.verbenamast.core.effect.Effects;
+
+/** The steps in the chart of a run's record. */
+public enum RunAction implements Action<RunData, RunInput> {
+    /** Notes how the run ended. */
+    NOTE_OUTCOME {
+        @Override
+        public RunData apply(RunData data, RunInput input, long now, Effects effects) {
+            return data.withOutcome(input.desk().keep(data.key(), input.outcome()));
+        }
+    },
+    /** Gives up the room that the record took. */
+    DISCARD {
+        @Override
+        public RunData apply(RunData data, RunInput input, long now, Effects effects) {
+            input.desk().discard(data);
+            return data;
+        }
+    }
+}
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/runs/RunData.java
@@ -0,0 +1,35 @@
+package org.verbenamast.core.gate.runs;
+
+import java.util.Objects;
+
+import org.verbenamast.core.check.Checks;
+import org.verbenamast.core.model.RequestId;
+import org.verbenamast.core.request.RequestOutcome;
+
+/**
+ * The record of a run.
+ *
+ * @param key what identifies the run
+ * @param id the identity of the send that was given to the backend server
+ * @param outcome how it ended, or null while the backend server has it
+ * @param windowMillis how long after the run its request may be sent again, in milliseconds
+ */
+public record RunData(RunKey key, RequestId id, RequestOutcome outcome, long windowMillis) {
+
+    /** Checks the parts. */
+    public RunData {
+        Objects.requireNonNull(key, "key");
+        Objects.requireNonNull(id, "id");
+        Checks.positive("windowMillis", windowMillis);
+    }
+
+    /**
+     * Returns this record with the end of the run.
+     *
+     * @param next how it ended
+     * @return the changed record
+     */
+    public RunData withOutcome(RequestOutcome next) {
+        return new RunData(key, id, next, windowMillis);
+    }
+}
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/runs/RunGuard.java
@@ -0,0 +1,15 @@
+package org.verbenamast.core.gate.runs;
+
+import org.verbenamast.core.chart.Guard;
+import org.verbenamast.core.request.RequestOutcome;
+
+/** The conditions in the chart of a run's record. */
+public enum RunGuard implements Guard<RunData, RunInput> {
+    /** The backend server certainly did not run the request. */
+    NOT_RUN {
+        @Override
+        public boolean permits(RunData data, RunInput input, long now) {
+            return input.outcome() instanceof RequestOutcome.NotRun;
+        }
+    }
+}
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/runs/RunInput.java
@@ -0,0 +1,19 @@
+package org.verbenamast.core.gate.runs;
+
+import java.util.Objects;
+
+import org.verbenamast.core.request.RequestOutcome;
+
+/**
+ * What an event tells the record of a run.
+ *
+ * @param desk keeps the records
+ * @param outcome how the run ended, or null for other events
+ */
+public record RunInput(RunDesk desk, RequestOutcome outcome) {
+
+    /** Checks the desk. */
+    public RunInput {
+        Objects.requireNonNull(desk, "desk");
+    }
+}
--- a/verbenamast-core/src/main/java/org/verbenamast/core/message/PeerMessage.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/message/PeerMessage.java
@@ -3,8 +3,11 @@
 import java.util.List;
 import java.util.Objects;
 
+import org.verbenamast.core.check.Checks;
+import org.verbenamast.core.gate.runs.KeptRun;
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.model.RequestId;
+import org.verbenamast.core.model.SliceId;
 import org.verbenamast.core.request.CallerRequest;
 import org.verbenamast.core.request.RequestOutcome;
 import org.verbenamast.core.store.Row;
@@ -26,17 +29,29 @@
      * Asks the receiver to have a request run by its backend server.
      *
      * @param id the request's identity
+     * @param attempt the number of this try of the request, from one
      * @param request the request
      * @param remainingNanos the time until the deadline, in nanoseconds
      */
-    record Forward(RequestId id, CallerRequest request, long remainingNanos) implements PeerMessage {
+    record Forward(RequestId id, int attempt, CallerRequest request, long remainingNanos) implements PeerMessage {
 
         /** Checks the parts. */
         public Forward {
             Objects.requireNonNull(id, "id");
+            Checks.positive("attempt", attempt);
             Objects.requireNonNull(request, "request");
         }
 
+        /**
+         * Returns this message with the request changed for the next hop.
+         *
+         * @param next the changed request
+         * @return the changed message
+         */
+        public Forward withRequest(CallerRequest next) {
+            return new Forward(id, attempt, next, remainingNanos);
+        }
+
         @Override
         public void deliver(PeerMessageHandler handler, MemberId from, long now) {
             handler.onForward(from, this, now);
@@ -47,13 +62,15 @@
      * Tells how a forwarded request ended.
      *
      * @param id the request's identity
+     * @param attempt the number of the try that ended
      * @param outcome how it ended
      */
-    record Ended(RequestId id, RequestOutcome outcome) implements PeerMessage {
+    record Ended(RequestId id, int attempt, RequestOutcome outcome) implements PeerMessage {
 
         /** Checks the parts. */
         public Ended {
             Objects.requireNonNull(id, "id");
+            Checks.positive("attempt", attempt);
             Objects.requireNonNull(outcome, "outcome");
         }
 
@@ -67,12 +84,14 @@
      * Tells that nobody waits for a forwarded request any more.
      *
      * @param id the request's identity
+     * @param attempt the number of the try that is given up
      */
-    record Cancel(RequestId id) implements PeerMessage {
+    record Cancel(RequestId id, int attempt) implements PeerMessage {
 
-        /** Checks the identity. */
+        /** Checks the parts. */
         public Cancel {
             Objects.requireNonNull(id, "id");
+            Checks.positive("attempt", attempt);
         }
 
         @Override
@@ -227,4 +246,32 @@
             handler.onRowRequest(from, this, now);
         }
     }
+
+    /**
+     * Passes the records of a slice's non-idempotent requests to its next owner, in parts.
+     *
+     * @param slice the slice
+     * @param epoch the next owner's epoch
+     * @param part the number of this part, from zero
+     * @param parts the number of parts
+     * @param runs the records in this part
+     */
+    record RunRecords(SliceId slice, long epoch, int part, int parts, List<KeptRun> runs) implements PeerMessage {
+
+        private static final int MAX_PARTS = 1 << 16;
+
+        /** Checks the numbers and copies the list. */
+        public RunRecords {
+            Objects.requireNonNull(slice, "slice");
+            Checks.positive("epoch", epoch);
+            Checks.within("parts", parts, 1, MAX_PARTS);
+            Checks.within("part", part, 0, parts - 1);
+            runs = List.copyOf(runs);
+        }
+
+        @Override
+        public void deliver(PeerMessageHandler handler, MemberId from, long now) {
+            handler.onRunRecords(from, this, now);
+        }
+    }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/message/PeerMessageHandler.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/message/PeerMessageHandler.java
@@ -103,4 +103,13 @@
      * @param now the monotonic time, in nanoseconds
      */
     void onRowRequest(MemberId from, PeerMessage.RowRequest message, long now);
+
+    /**
+     * Takes the records of a slice's earlier owner.
+     *
+     * @param from the sender
+     * @param message the message
+     * @param now the monotonic time, in nanoseconds
+     */
+    void onRunRecords(MemberId from, PeerMessage.RunRecords message, long now);
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeCore.java
@@ -20,6 +20,7 @@
 import org.verbenamast.core.ownership.OwnershipDesk;
 import org.verbenamast.core.request.DirectoryRouter;
 import org.verbenamast.core.request.EntryDesk;
+import org.verbenamast.core.request.RoutePolicy;
 import org.verbenamast.core.store.Row;
 import org.verbenamast.core.store.StoreDesk;
 import org.verbenamast.core.store.StoreReply;
@@ -62,7 +63,8 @@
         this.spread = new SpreadDesk(settings, directory, store, this);
         this.ownership =
                 new OwnershipDesk(settings, directory, store, now -> member.is(MemberTag.JOINED), this, decisions);
-        this.entries = new EntryDesk(settings, new DirectoryRouter(settings, directory), decisions);
+        DirectoryRouter router = new DirectoryRouter(settings, directory, RoutePolicy.DEFAULT, decisions);
+        this.entries = new EntryDesk(settings, router, decisions);
         this.serving = new ServeDesk(settings, member, ownership, decisions);
     }
 
@@ -182,12 +184,13 @@
         if (directory.learn(row)) {
             member.learnt(row, now, this::emit);
             ownership.learnt(row, now, this::emit);
+            serving.runs().learnt(row, now, this::emit);
         }
     }
 
     void onNotSent(MemberId to, PeerMessage message, long now) {
         if (message instanceof PeerMessage.Forward forward) {
-            entries.notSent(forward.id(), now, this::emit);
+            entries.notSent(to, forward, now, this::emit);
         }
     }
 
@@ -209,6 +212,7 @@
 
     void onServerAnnounced(ServerAnnouncement announcement, long now) {
         member.announced(announcement, now, this::emit);
+        serving.announced(announcement, now, this::emit);
     }
 
     void onStoreReplied(long call, StoreReply reply, long now) {
@@ -226,12 +230,12 @@
 
     @Override
     public void onEnded(MemberId from, PeerMessage.Ended message, long now) {
-        entries.ended(from, message.id(), message.outcome(), now, this::emit);
+        entries.ended(from, message, now, this::emit);
     }
 
     @Override
     public void onCancel(MemberId from, PeerMessage.Cancel message, long now) {
-        serving.cancelled(message.id(), now, this::emit);
+        serving.cancelled(message.id(), message.attempt(), now, this::emit);
     }
 
     @Override
@@ -269,6 +273,11 @@
         // Digests are not compared here yet.
     }
 
+    @Override
+    public void onRunRecords(MemberId from, PeerMessage.RunRecords message, long now) {
+        serving.runs().recordsCame(message, now, this::emit);
+    }
+
     @Override
     public void onRowRequest(MemberId from, PeerMessage.RowRequest message, long now) {
         // Digests are not compared here yet.
--- a/verbenamast-core/src/main/java/org/verbenamast/core/ownership/OwnershipDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/ownership/OwnershipDesk.java
@@ -159,7 +159,7 @@
     }
 
     private long settleNanos(SliceGrant grant) {
-        boolean mayRun = grant.origin().requestsMayRun() && !service.fenced();
+        boolean mayRun = grant.origin().requestsMayRun() && service.keyed() && !service.fenced();
         return mayRun ? Timing.nanos(settings.timing().longestRequestMillis()) : 0;
     }
 
@@ -175,7 +175,7 @@
             return;
         }
         nextReview = now + Timing.nanos(settings.timing().reviewEveryMillis());
-        if (service.keyed() && lease.holds(now)) {
+        if (lease.holds(now)) {
             review(now, effects);
         }
     }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/CallerRequest.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/CallerRequest.java
@@ -2,8 +2,11 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 
 import org.verbenamast.core.model.ServiceName;
+import org.verbenamast.core.model.ServiceSettings;
+import org.verbenamast.core.model.SliceId;
 
 /**
  * What a caller asks for.
@@ -39,6 +42,29 @@
         Objects.requireNonNull(traceParent, "traceParent");
     }
 
+    /**
+     * Finds the slice whose owner alone may have the request run: that of the key, or that of the idempotency key
+     * where the service is not keyed and the request is not idempotent.
+     *
+     * @param settings the settings of the request's service
+     * @return the slice, or nothing where any member of the service may run the request
+     */
+    public Optional<SliceId> slice(ServiceSettings settings) {
+        if (settings.keyed()) {
+            return Optional.of(settings.sliceOf(key));
+        }
+        return resendable() ? Optional.of(settings.sliceOf(idempotencyKey)) : Optional.empty();
+    }
+
+    /**
+     * Tells whether the request must not be repeated, but its caller may send it again under its idempotency key.
+     *
+     * @return whether it is not idempotent and has an idempotency key
+     */
+    public boolean resendable() {
+        return !method.idempotent() && !idempotencyKey.isEmpty();
+    }
+
     /**
      * Returns this request with another trace context, for the next hop.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/DirectoryRouter.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/DirectoryRouter.java
@@ -1,78 +1,154 @@
 package org.verbenamast.core.request;
 
+import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Random;
-import java.util.Set;
 
+import org.verbenamast.core.chart.TransitionListener;
 import org.verbenamast.core.membership.Directory;
 import org.verbenamast.core.membership.MemberRow;
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.model.RequestId;
+import org.verbenamast.core.model.ServiceName;
 import org.verbenamast.core.model.ServiceSettings;
+import org.verbenamast.core.model.SliceId;
 import org.verbenamast.core.node.CoreSettings;
 import org.verbenamast.core.ownership.SliceGrant;
+import org.verbenamast.core.request.peer.HealthDesk;
+import org.verbenamast.core.request.peer.HealthEvent;
 
-/** Routes by the rows that the node knows and by what it has sent itself. */
+/** Routes by the rows that the node knows and by what it has seen of the members itself. */
 public final class DirectoryRouter implements Router {
 
     private final CoreSettings settings;
     private final Directory directory;
+    private final RoutePolicy policy;
     private final Random random;
-    private final Map<MemberId, Set<RequestId>> inFlight = new HashMap<>();
+    private final MemberSignals signals = new MemberSignals();
+    private final HealthDesk health;
+    private final Map<ServiceName, ServiceBudgets> budgets = new HashMap<>();
+    private MemberId chosen = MemberId.NONE;
 
     /**
      * Makes a router that has sent nothing.
      *
      * @param settings the node's settings
      * @param directory the rows that the node knows
+     * @param policy how members are chosen
+     * @param listener is told of each transition
      */
-    public DirectoryRouter(CoreSettings settings, Directory directory) {
+    public DirectoryRouter(
+            CoreSettings settings, Directory directory, RoutePolicy policy, TransitionListener listener) {
         this.settings = Objects.requireNonNull(settings, "settings");
         this.directory = Objects.requireNonNull(directory, "directory");
+        this.policy = Objects.requireNonNull(policy, "policy");
         this.random = new Random(settings.seed());
+        this.health = new HealthDesk(listener);
+        settings.services().forEach(service -> budgets.put(service.name(), new ServiceBudgets()));
     }
 
     @Override
-    public MemberId route(CallerRequest request) {
-        ServiceSettings service = settings.serviceOf(request.service()).orElseThrow();
-        return service.keyed() ? ownerOf(service, request.key()) : anyOf(service);
+    public boolean choose(EntryData data, long now) {
+        health.advance(now);
+        ServiceSettings service = serviceOf(data);
+        Optional<SliceId> slice = data.request().slice(service);
+        chosen = slice.isPresent() ? ownerOf(slice.get()) : anyOf(service.name(), data, now);
+        if (chosen.isNone()) {
+            return false;
+        }
+        if (data.attempts() == 0) {
+            budgetsOf(data).firstTry();
+        }
+        health.saw(chosen, HealthEvent.SENT, now);
+        return true;
+    }
+
+    private ServiceSettings serviceOf(EntryData data) {
+        return settings.serviceOf(data.request().service()).orElseThrow();
     }
 
-    private MemberId ownerOf(ServiceSettings service, String key) {
-        SliceGrant grant = directory.grant(service.sliceOf(key));
+    private ServiceBudgets budgetsOf(EntryData data) {
+        return budgets.get(data.request().service());
+    }
+
+    private MemberId ownerOf(SliceId slice) {
+        SliceGrant grant = directory.grant(slice);
         MemberRow owner = directory.member(grant.owner());
         return owner == null || owner.status().over() ? MemberId.NONE : owner.id();
     }
 
-    private MemberId anyOf(ServiceSettings service) {
-        List<MemberId> members = directory.activeMembers(service.name()).stream()
-                .map(MemberRow::id)
-                .toList();
-        if (members.isEmpty()) {
-            return MemberId.NONE;
+    private MemberId anyOf(ServiceName service, EntryData data, long now) {
+        List<MemberId> candidates = candidates(service, data);
+        return candidates.isEmpty() ? MemberId.NONE : policy.choice().choose(candidates, signals, random, now);
+    }
+
+    /** Lists the members that may take a try; where all are parked, parked ones too. */
+    private List<MemberId> candidates(ServiceName service, EntryData data) {
+        List<MemberId> free = new ArrayList<>();
+        for (MemberRow member : directory.activeMembers(service)) {
+            if (!data.at(member.id())) {
+                free.add(member.id());
+            }
+        }
+        List<MemberId> good = free.stream().filter(id -> !health.parked(id)).toList();
+        return good.isEmpty() ? free : good;
+    }
+
+    @Override
+    public boolean chooseHedge(EntryData data, long now) {
+        MemberId other = anyOf(data.request().service(), data, now);
+        if (other.isNone() || health.parked(other) || !budgetsOf(data).hedges().spend()) {
+            return false;
         }
-        return ServerChoice.TWO_CHOICES.choose(members, this::inFlight, random);
+        chosen = other;
+        return true;
     }
 
-    private int inFlight(MemberId member) {
-        return inFlight.getOrDefault(member, Set.of()).size();
+    @Override
+    public MemberId chosen() {
+        return chosen;
+    }
+
+    @Override
+    public long hedgeNanos(EntryData data) {
+        boolean keyed = serviceOf(data).keyed();
+        return policy.hedge().delayNanos(data.request(), keyed, budgetsOf(data).usual());
+    }
+
+    @Override
+    public boolean affordsRetry(EntryData data, NotRunReason reason) {
+        return !reason.costsBudget() || budgetsOf(data).retries().spend();
     }
 
     @Override
     public void sent(RequestId id, MemberId to) {
-        inFlight.computeIfAbsent(to, member -> new HashSet<>()).add(id);
+        signals.sent(id, to);
     }
 
     @Override
     public void left(RequestId id, MemberId at) {
-        inFlight.computeIfPresent(at, (member, ids) -> {
-            ids.remove(id);
-            return ids.isEmpty() ? null : ids;
-        });
+        signals.left(id, at);
+    }
+
+    @Override
+    public void observed(EntryData data, Try ended, RequestOutcome outcome, long now) {
+        if (outcome instanceof RequestOutcome.Answered) {
+            long took = now - ended.sentAt();
+            signals.took(ended.member(), took, now);
+            budgetsOf(data).usual().add(took);
+            health.saw(ended.member(), HealthEvent.SUCCEEDED, now);
+        } else if (failed(outcome)) {
+            health.saw(ended.member(), HealthEvent.FAILED, now);
+        }
+    }
+
+    private static boolean failed(RequestOutcome outcome) {
+        return !(outcome instanceof RequestOutcome.NotRun notRun)
+                || notRun.reason().blamesMember();
     }
 
     /**
@@ -82,6 +158,6 @@
      * @return the requests' identities
      */
     public List<RequestId> at(MemberId member) {
-        return List.copyOf(inFlight.getOrDefault(member, Set.of()));
+        return signals.at(member);
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/EntryAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/EntryAction.java
@@ -8,60 +8,65 @@
 
 /** The steps in the chart of a request at the member that took it from its caller. */
 public enum EntryAction implements Action<EntryData, EntryInput> {
-    /** Sends the request to the member that is to run it. */
+    /** Sends the request to the member that was chosen. */
     FORWARD {
         @Override
         public EntryData apply(EntryData data, EntryInput input, long now, Effects effects) {
-            MemberId to = input.router().route(data.request());
+            MemberId to = input.router().chosen();
+            EntryData sent = data.sentTo(to, now, input.router().hedgeNanos(data));
             input.router().sent(data.id(), to);
-            PeerMessage forward = new PeerMessage.Forward(data.id(), data.request(), data.deadline() - now);
+            long remaining = data.deadline() - now;
+            PeerMessage forward = new PeerMessage.Forward(data.id(), sent.attempts(), data.request(), remaining);
             effects.emit(new Effect.SendToPeer(to, forward));
-            return data.sentTo(to);
+            return sent;
         }
     },
-    /** Notes that the member no longer has the request. */
+    /** Notes that a try certainly did not run. */
     TAKE_BACK {
         @Override
         public EntryData apply(EntryData data, EntryInput input, long now, Effects effects) {
-            input.router().left(data.id(), data.at());
-            NotRunReason reason = input.outcome() instanceof RequestOutcome.NotRun notRun
-                    ? notRun.reason()
-                    : NotRunReason.SERVER_UNREACHABLE;
-            return data.refused(reason);
+            leave(data, input, now);
+            return input.outcome() instanceof RequestOutcome.Unknown unknown
+                    ? data.lost(input.attempt(), unknown.reason())
+                    : data.refused(input.attempt(), refusal(input));
         }
     },
-    /** Tells the member that nobody waits for the request any more. */
-    CANCEL {
+    /** Notes that a try may have run unseen. */
+    GIVE_UP_TRY {
         @Override
         public EntryData apply(EntryData data, EntryInput input, long now, Effects effects) {
-            input.router().left(data.id(), data.at());
-            effects.emit(new Effect.SendToPeer(data.at(), new PeerMessage.Cancel(data.id())));
-            return data;
+            leave(data, input, now);
+            return data.lost(input.attempt(), UnknownReason.LINK_LOST);
         }
     },
-    /** Gives the caller the outcome that the member told. */
-    REPLY_OUTCOME {
+    /** Tells the members that still have tries that nobody waits for them any more. */
+    CANCEL {
         @Override
         public EntryData apply(EntryData data, EntryInput input, long now, Effects effects) {
-            input.router().left(data.id(), data.at());
-            effects.emit(new Effect.ReplyToCaller(data.id(), input.outcome()));
+            for (Try open : data.tries()) {
+                if (open.attempt() != input.attempt()) {
+                    input.router().left(data.id(), open.member());
+                    PeerMessage cancel = new PeerMessage.Cancel(data.id(), open.attempt());
+                    effects.emit(new Effect.SendToPeer(open.member(), cancel));
+                }
+            }
             return data;
         }
     },
-    /** Tells the caller that the request was not run, with the reason of the last refusal. */
-    REPLY_NOT_RUN {
+    /** Gives the caller the answer. */
+    REPLY_ANSWER {
         @Override
         public EntryData apply(EntryData data, EntryInput input, long now, Effects effects) {
-            effects.emit(new Effect.ReplyToCaller(data.id(), new RequestOutcome.NotRun(data.lastRefusal())));
+            leave(data, input, now);
+            effects.emit(new Effect.ReplyToCaller(data.id(), input.outcome()));
             return data;
         }
     },
-    /** Tells the caller that the link broke while a member had the request. */
-    REPLY_LINK_LOST {
+    /** Tells the caller that no try was answered: not run where that is certain, or else unknown. */
+    REPLY_UNANSWERED {
         @Override
         public EntryData apply(EntryData data, EntryInput input, long now, Effects effects) {
-            input.router().left(data.id(), data.at());
-            effects.emit(new Effect.ReplyToCaller(data.id(), new RequestOutcome.Unknown(UnknownReason.LINK_LOST)));
+            effects.emit(new Effect.ReplyToCaller(data.id(), data.unanswered()));
             return data;
         }
     },
@@ -73,5 +78,19 @@
             effects.emit(new Effect.ReplyToCaller(data.id(), overdue));
             return data;
         }
+    };
+
+    private static void leave(EntryData data, EntryInput input, long now) {
+        Router router = input.router();
+        data.openTry(input.attempt()).ifPresent(open -> {
+            router.left(data.id(), open.member());
+            router.observed(data, open, input.outcome(), now);
+        });
+    }
+
+    private static NotRunReason refusal(EntryInput input) {
+        return input.outcome() instanceof RequestOutcome.NotRun notRun
+                ? notRun.reason()
+                : NotRunReason.MEMBER_UNREACHABLE;
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/EntryDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/EntryDesk.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import org.verbenamast.core.chart.Chart;
+import org.verbenamast.core.chart.Instance;
 import org.verbenamast.core.chart.NoTag;
 import org.verbenamast.core.chart.Population;
 import org.verbenamast.core.chart.TransitionListener;
@@ -11,6 +12,7 @@
 import org.verbenamast.core.chart.file.ChartReader;
 import org.verbenamast.core.effect.Effect;
 import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.message.PeerMessage;
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.model.RequestId;
 import org.verbenamast.core.model.ServiceSettings;
@@ -38,7 +40,7 @@
     public EntryDesk(CoreSettings settings, DirectoryRouter router, TransitionListener listener) {
         this.settings = Objects.requireNonNull(settings, "settings");
         this.router = Objects.requireNonNull(router, "router");
-        this.plain = new EntryInput(router, null);
+        this.plain = new EntryInput(router, 0, null);
         Chart<EntryEvent, EntryData, EntryInput> chart = ChartReader.bundled("entry", VOCABULARY);
         this.requests = new Population<>(chart, event -> plain, listener);
     }
@@ -58,8 +60,7 @@
             effects.emit(new Effect.ReplyToCaller(id, new RequestOutcome.NotRun(fault.get())));
             return;
         }
-        EntryData data = new EntryData(id, request, deadline, MemberId.NONE, NotRunReason.NO_OWNER);
-        requests.begin(id, data, now);
+        requests.begin(id, EntryData.arrived(id, request, deadline), now);
         requests.fire(id, EntryEvent.ROUTE, plain, now, effects);
     }
 
@@ -73,34 +74,42 @@
     }
 
     /**
-     * Takes the end of a request at the member that had it.
+     * Takes the end of a try at the member that had it. The end of another try than those under way is ignored.
      *
      * @param from the member
-     * @param id the request's identity
-     * @param outcome how it ended
+     * @param ended how the try ended
      * @param now the monotonic time, in nanoseconds
      * @param effects the sink of the effects
      */
-    public void ended(MemberId from, RequestId id, RequestOutcome outcome, long now, Effects effects) {
-        if (has(id, from)) {
-            requests.fire(id, EntryEvent.ENDED, new EntryInput(router, outcome), now, effects);
-        }
+    public void ended(MemberId from, PeerMessage.Ended ended, long now, Effects effects) {
+        fire(ended.id(), from, ended.attempt(), EntryEvent.ENDED, ended.outcome(), now, effects);
     }
 
-    private boolean has(RequestId id, MemberId member) {
-        var request = requests.find(id);
-        return request != null && request.data().at().equals(member);
+    private void fire(
+            RequestId id,
+            MemberId member,
+            int attempt,
+            EntryEvent event,
+            RequestOutcome outcome,
+            long now,
+            Effects effects) {
+        Instance<EntryData> request = requests.find(id);
+        Optional<Try> open = request == null ? Optional.empty() : request.data().openTry(attempt);
+        if (open.isPresent() && open.get().member().equals(member)) {
+            requests.fire(id, event, new EntryInput(router, attempt, outcome), now, effects);
+        }
     }
 
     /**
-     * Takes back a request that was certainly not sent.
+     * Takes back a try that was certainly not sent.
      *
-     * @param id the request's identity
+     * @param to the member it was meant for
+     * @param forward the try
      * @param now the monotonic time, in nanoseconds
      * @param effects the sink of the effects
      */
-    public void notSent(RequestId id, long now, Effects effects) {
-        requests.fire(id, EntryEvent.NOT_SENT, plain, now, effects);
+    public void notSent(MemberId to, PeerMessage.Forward forward, long now, Effects effects) {
+        fire(forward.id(), to, forward.attempt(), EntryEvent.NOT_SENT, null, now, effects);
     }
 
     /**
@@ -111,7 +120,11 @@
      * @param effects the sink of the effects
      */
     public void linkLost(MemberId member, long now, Effects effects) {
-        router.at(member).forEach(id -> requests.fire(id, EntryEvent.LINK_LOST, plain, now, effects));
+        for (RequestId id : router.at(member)) {
+            for (Try open : requests.find(id).data().tries()) {
+                fire(id, member, open.attempt(), EntryEvent.LINK_LOST, null, now, effects);
+            }
+        }
     }
 
     /**
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/EntryEvent.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/EntryEvent.java
@@ -4,12 +4,14 @@
 public enum EntryEvent {
     /** The request is to be routed. */
     ROUTE,
-    /** The member that had the request says how it ended. */
+    /** The member that had a try says how it ended. */
     ENDED,
-    /** The request certainly did not reach the member it was sent to. */
+    /** A try certainly did not reach the member it was sent to. */
     NOT_SENT,
-    /** The link to the member that has the request broke. */
+    /** The link to the member that has a try broke. */
     LINK_LOST,
+    /** The first try has lasted so long that a second one may pay. */
+    HEDGE_DUE,
     /** The deadline passed. */
     DEADLINE_DUE,
     /** The caller is gone. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/EntryGuard.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/EntryGuard.java
@@ -8,22 +8,44 @@
     ROUTE_KNOWN {
         @Override
         public boolean permits(EntryData data, EntryInput input, long now) {
-            return !input.router().route(data.request()).isNone();
+            return input.router().choose(data, now);
         }
     },
-    /** The request was not run, and another try may succeed. */
-    NOT_RUN_MAY_RETRY {
+    /** A backend server answered. */
+    ANSWERED {
+        @Override
+        public boolean permits(EntryData data, EntryInput input, long now) {
+            return input.outcome() instanceof RequestOutcome.Answered;
+        }
+    },
+    /** Another member has a try of the request, too. */
+    OTHER_TRY_OPEN {
+        @Override
+        public boolean permits(EntryData data, EntryInput input, long now) {
+            return data.tries().size() > 1;
+        }
+    },
+    /** The try was not run, another one may succeed, and the retry budget pays for it. */
+    RETRY_ALLOWED {
         @Override
         public boolean permits(EntryData data, EntryInput input, long now) {
             return input.outcome() instanceof RequestOutcome.NotRun notRun
-                    && notRun.reason().mayRetry();
+                    && notRun.reason().mayRetry()
+                    && input.router().affordsRetry(data, notRun.reason());
+        }
+    },
+    /** Running the request twice does no harm, or its owner's records prevent it. */
+    SAFE_TO_RESEND {
+        @Override
+        public boolean permits(EntryData data, EntryInput input, long now) {
+            return data.request().method().idempotent() || data.request().resendable();
         }
     },
-    /** Running the request twice has the effect of running it once. */
-    IDEMPOTENT {
+    /** Another member may take a second try, and the hedging budget pays for it. */
+    MAY_HEDGE {
         @Override
         public boolean permits(EntryData data, EntryInput input, long now) {
-            return data.request().method().idempotent();
+            return data.tries().size() == 1 && input.router().chooseHedge(data, now);
         }
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/EntryInput.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/EntryInput.java
@@ -6,9 +6,10 @@
  * What an event tells a request at the member that took it from its caller.
  *
  * @param router chooses where requests go
- * @param outcome how the request ended, or null for other events
+ * @param attempt the number of the try that the event is about, or 0
+ * @param outcome how the try ended, or null for other events
  */
-public record EntryInput(Router router, RequestOutcome outcome) {
+public record EntryInput(Router router, int attempt, RequestOutcome outcome) {
 
     /** Checks the router. */
     public EntryInput {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/EntryTimer.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/EntryTimer.java
@@ -17,7 +17,7 @@
             return Math.max(0, data.deadline() - now);
         }
     },
-    /** Waits before the request is routed again. */
+    /** Waits before the request is routed again, longer after each try. */
     REROUTE {
         @Override
         public EntryEvent fires() {
@@ -26,7 +26,22 @@
 
         @Override
         public long delayNanos(EntryData data, long now) {
-            return Timing.nanos(Timing.DEFAULT.retryMillis());
+            int doublings = Math.min(MAX_DOUBLINGS, Math.max(0, data.attempts() - 1));
+            return Timing.nanos(Timing.DEFAULT.retryMillis()) << doublings;
         }
-    }
+    },
+    /** Waits until a second try may pay. */
+    HEDGE {
+        @Override
+        public EntryEvent fires() {
+            return EntryEvent.HEDGE_DUE;
+        }
+
+        @Override
+        public long delayNanos(EntryData data, long now) {
+            return data.hedgeNanos();
+        }
+    };
+
+    private static final int MAX_DOUBLINGS = 4;
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/Router.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/Router.java
@@ -7,12 +7,46 @@
 public interface Router {
 
     /**
-     * Chooses a member.
+     * Chooses a member for the next try of a request.
      *
-     * @param request the request
-     * @return the member, or {@link MemberId#NONE} where none may take the request at present
+     * @param data the request
+     * @param now the monotonic time, in nanoseconds
+     * @return whether some member may take the request at present; {@link #chosen()} names it
      */
-    MemberId route(CallerRequest request);
+    boolean choose(EntryData data, long now);
+
+    /**
+     * Chooses another member for a second try beside the first, and takes it from the hedging budget.
+     *
+     * @param data the request
+     * @param now the monotonic time, in nanoseconds
+     * @return whether a second try is made; {@link #chosen()} names the member
+     */
+    boolean chooseHedge(EntryData data, long now);
+
+    /**
+     * Returns the member that was chosen last.
+     *
+     * @return the member
+     */
+    MemberId chosen();
+
+    /**
+     * Returns how long a try may last before a second one is made.
+     *
+     * @param data the request
+     * @return the time in nanoseconds; beyond any deadline where no second try is made
+     */
+    long hedgeNanos(EntryData data);
+
+    /**
+     * Takes one more try from the retry budget of the request's service.
+     *
+     * @param data the request
+     * @param reason why the last try was refused
+     * @return whether the budget pays for it
+     */
+    boolean affordsRetry(EntryData data, NotRunReason reason);
 
     /**
      * Notes that a request is on its way to a member.
@@ -29,4 +63,14 @@
      * @param at the member
      */
     void left(RequestId id, MemberId at);
+
+    /**
+     * Learns from the end of a try.
+     *
+     * @param data the request
+     * @param ended the try
+     * @param outcome how it ended, or null where the member could not be reached
+     * @param now the monotonic time, in nanoseconds
+     */
+    void observed(EntryData data, Try ended, RequestOutcome outcome, long now);
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/ServerChoice.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/ServerChoice.java
@@ -2,7 +2,6 @@
 
 import java.util.List;
 import java.util.Random;
-import java.util.function.ToIntFunction;
 
 import org.verbenamast.core.model.MemberId;
 
@@ -11,17 +10,33 @@
     /** Any member, with equal chances. A baseline. */
     RANDOM {
         @Override
-        public MemberId choose(List<MemberId> members, ToIntFunction<MemberId> inFlight, Random random) {
+        public MemberId choose(List<MemberId> members, MemberSignals signals, Random random, long now) {
             return members.get(random.nextInt(members.size()));
         }
     },
-    /** The one of two random members that has fewer of this node's requests. */
-    TWO_CHOICES {
+    /** One member after the other. A baseline. */
+    ROUND_ROBIN {
         @Override
-        public MemberId choose(List<MemberId> members, ToIntFunction<MemberId> inFlight, Random random) {
+        public MemberId choose(List<MemberId> members, MemberSignals signals, Random random, long now) {
+            return members.get((int) (signals.turn() % members.size()));
+        }
+    },
+    /** The one of two random members that has fewer of this node's requests. A baseline. */
+    FEWER_IN_FLIGHT {
+        @Override
+        public MemberId choose(List<MemberId> members, MemberSignals signals, Random random, long now) {
             MemberId first = members.get(random.nextInt(members.size()));
-            MemberId second = members.get(random.nextInt(members.size()));
-            return inFlight.applyAsInt(second) < inFlight.applyAsInt(first) ? second : first;
+            MemberId second = other(members, first, random);
+            return signals.inFlight(second) < signals.inFlight(first) ? second : first;
+        }
+    },
+    /** The one of two random members whose recent latency and requests in flight promise the sooner answer. */
+    SOONER_ANSWER {
+        @Override
+        public MemberId choose(List<MemberId> members, MemberSignals signals, Random random, long now) {
+            MemberId first = members.get(random.nextInt(members.size()));
+            MemberId second = other(members, first, random);
+            return signals.cost(second, now) < signals.cost(first, now) ? second : first;
         }
     };
 
@@ -29,9 +44,19 @@
      * Chooses a member.
      *
      * @param members the members that may take the request; at least one
-     * @param inFlight tells how many of this node's requests a member has
+     * @param signals what this node has seen of the members
      * @param random the source of random numbers
+     * @param now the monotonic time, in nanoseconds
      * @return one of the members
      */
-    public abstract MemberId choose(List<MemberId> members, ToIntFunction<MemberId> inFlight, Random random);
+    public abstract MemberId choose(List<MemberId> members, MemberSignals signals, Random random, long now);
+
+    private static MemberId other(List<MemberId> members, MemberId first, Random random) {
+        if (members.size() == 1) {
+            return first;
+        }
+        int at = random.nextInt(members.size() - 1);
+        MemberId second = members.get(at);
+        return second.equals(first) ? members.get(members.size() - 1) : second;
+    }
 }
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/ServiceBudgets.java
@@ -0,0 +1,32 @@
+package org.verbenamast.core.request;
+
+/** What a node may spend on extra tries of the requests of one service. */
+final class ServiceBudgets {
+
+    private static final long RETRIES_PER_MILLE = 200;
+    private static final long RETRY_RESERVE = 100;
+    private static final long HEDGES_PER_MILLE = 50;
+    private static final long HEDGE_RESERVE = 2;
+    private static final double HEDGE_QUANTILE = 0.95;
+
+    private final TokenBudget retries = new TokenBudget(RETRIES_PER_MILLE, RETRY_RESERVE);
+    private final TokenBudget hedges = new TokenBudget(HEDGES_PER_MILLE, HEDGE_RESERVE);
+    private final QuantileEstimate usual = new QuantileEstimate(HEDGE_QUANTILE);
+
+    TokenBudget retries() {
+        return retries;
+    }
+
+    TokenBudget hedges() {
+        return hedges;
+    }
+
+    QuantileEstimate usual() {
+        return usual;
+    }
+
+    void firstTry() {
+        retries.earn();
+        hedges.earn();
+    }
+}
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/Try.java
@@ -0,0 +1,22 @@
+package org.verbenamast.core.request;
+
+import java.util.Objects;
+
+import org.verbenamast.core.check.Checks;
+import org.verbenamast.core.model.MemberId;
+
+/**
+ * One try of a request that a member has.
+ *
+ * @param attempt the number of the try, from one
+ * @param member the member
+ * @param sentAt when the request was sent, in nanoseconds
+ */
+public record Try(int attempt, MemberId member, long sentAt) {
+
+    /** Checks the parts. */
+    public Try {
+        Checks.positive("attempt", attempt);
+        Objects.requireNonNull(member, "member");
+    }
+}
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/UnknownReason.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/UnknownReason.java
@@ -9,7 +9,13 @@
     /** The deadline passed while a backend server had the request. */
     DEADLINE_PASSED(504),
     /** The member that had the request may no longer speak for the key. */
-    LEASE_LOST(502);
+    LEASE_LOST(502),
+    /** An earlier send under the same idempotency key may have run, and the owner of the key can't be asked. */
+    EARLIER_SEND(502),
+    /** An earlier send under the same idempotency key may have run under an earlier owner of the key. */
+    EARLIER_OWNER(502),
+    /** An earlier send under the same idempotency key ran, and its answer is not kept. */
+    ANSWER_NOT_KEPT(502);
 
     private final int status;
 
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Decides which members are given no requests for a while. */
+package org.verbenamast.core.request.peer;
--- a/verbenamast-node/src/main/java/org/verbenamast/node/NodeEffects.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/NodeEffects.java
@@ -61,6 +61,7 @@
     private void sendToPeer(Effect.SendToPeer send) {
         MemberRow member = core.directory().member(send.to());
         if (member == null) {
+            peers.reportNotSent(send.to(), send.message());
             return;
         }
         peers.send(send.to(), member.peer(), traced(send.message()));
@@ -69,7 +70,7 @@
     private PeerMessage traced(PeerMessage message) {
         if (message instanceof PeerMessage.Forward forward) {
             CallerRequest request = spans.begin(forward.id(), HopKind.FORWARD, forward.request());
-            return new PeerMessage.Forward(forward.id(), request, forward.remainingNanos());
+            return forward.withRequest(request);
         }
         if (message instanceof PeerMessage.Ended ended) {
             spans.end(ended.id(), HopKind.SERVE, ended.outcome());
--- a/verbenamast-node/src/main/java/org/verbenamast/node/NodePeerObserver.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/NodePeerObserver.java
@@ -43,8 +43,7 @@
         }
         if (received.message() instanceof PeerMessage.Forward forward) {
             CallerRequest request = spans.begin(forward.id(), HopKind.SERVE, forward.request());
-            PeerMessage traced = new PeerMessage.Forward(forward.id(), request, forward.remainingNanos());
-            return new NodeInput.PeerReceived(received.from(), traced);
+            return new NodeInput.PeerReceived(received.from(), forward.withRequest(request));
         }
         if (received.message() instanceof PeerMessage.Ended ended) {
             spans.end(ended.id(), HopKind.FORWARD, ended.outcome());
--- a/verbenamast-node/src/main/java/org/verbenamast/node/peer/PeerLinks.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/peer/PeerLinks.java
@@ -138,7 +138,13 @@
         observer.sent(bytes);
     }
 
-    void reportNotSent(MemberId to, PeerMessage message) {
+    /**
+     * Reports a message as not sent, once the event at hand has been dealt with.
+     *
+     * @param to the receiver
+     * @param message the message
+     */
+    public void reportNotSent(MemberId to, PeerMessage message) {
         eventloop.post(() -> observer.happened(new NodeInput.PeerNotSent(to, message)));
     }
 
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerCodec.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerCodec.java
@@ -56,7 +56,9 @@
             case FORWARD -> RequestCodec.decode(envelope.getForward());
             case ENDED -> RequestCodec.decode(envelope.getEnded());
             case CANCEL ->
-                new PeerMessage.Cancel(ModelCodec.decode(envelope.getCancel().getId()));
+                new PeerMessage.Cancel(
+                        ModelCodec.decode(envelope.getCancel().getId()),
+                        envelope.getCancel().getAttempt());
             case VOUCH ->
                 new PeerMessage.Vouch(
                         ModelCodec.decode(envelope.getVouch().getVoucher()),
@@ -79,6 +81,7 @@
                 new PeerMessage.DigestOffer(envelope.getDigestOffer().getBucketsList());
             case BUCKET_VERSIONS -> RowCodec.decode(envelope.getBucketVersions());
             case ROW_REQUEST -> RowCodec.decode(envelope.getRowRequest());
+            case RUN_RECORDS -> RunCodec.decode(envelope.getRunRecords());
             case KIND_NOT_SET -> throw WireException.shouldHaveKnownKind();
         };
     }
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerEncoder.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerEncoder.java
@@ -32,7 +32,8 @@
 
     @Override
     public void onCancel(MemberId from, PeerMessage.Cancel message, long now) {
-        envelope.setCancel(Cancel.newBuilder().setId(ModelCodec.encode(message.id())));
+        envelope.setCancel(
+                Cancel.newBuilder().setId(ModelCodec.encode(message.id())).setAttempt(message.attempt()));
     }
 
     @Override
@@ -82,4 +83,9 @@
     public void onRowRequest(MemberId from, PeerMessage.RowRequest message, long now) {
         envelope.setRowRequest(RowCodec.encode(message));
     }
+
+    @Override
+    public void onRunRecords(MemberId from, PeerMessage.RunRecords message, long now) {
+        envelope.setRunRecords(RunCodec.encode(message));
+    }
 }
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/RequestCodec.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/RequestCodec.java
@@ -35,6 +35,7 @@
                 .setIdempotencyKey(request.idempotencyKey())
                 .setTraceParent(request.traceParent())
                 .setRemainingNanos(forward.remainingNanos())
+                .setAttempt(forward.attempt())
                 .build();
     }
 
@@ -48,11 +49,13 @@
                 new Body(forward.getBody().toByteArray()),
                 forward.getIdempotencyKey(),
                 forward.getTraceParent());
-        return new PeerMessage.Forward(ModelCodec.decode(forward.getId()), request, forward.getRemainingNanos());
+        return new PeerMessage.Forward(
+                ModelCodec.decode(forward.getId()), forward.getAttempt(), request, forward.getRemainingNanos());
     }
 
     static Ended encode(PeerMessage.Ended ended) {
-        Ended.Builder builder = Ended.newBuilder().setId(ModelCodec.encode(ended.id()));
+        Ended.Builder builder =
+                Ended.newBuilder().setId(ModelCodec.encode(ended.id())).setAttempt(ended.attempt());
         if (ended.outcome() instanceof RequestOutcome.Answered answered) {
             builder.setAnswered(Answered.newBuilder()
                     .setStatus(answered.status())
@@ -78,7 +81,7 @@
                     case UNKNOWN -> new RequestOutcome.Unknown(UnknownReason.valueOf(ended.getUnknown()));
                     case OUTCOME_NOT_SET -> throw WireException.shouldHaveKnownKind();
                 };
-        return new PeerMessage.Ended(ModelCodec.decode(ended.getId()), outcome);
+        return new PeerMessage.Ended(ModelCodec.decode(ended.getId()), ended.getAttempt(), outcome);
     }
 
     private static ByteString encode(Body body) {
--- a/verbenamast-wire/src/test/java/org/verbenamast/wire/PeerCodecTest.java
+++ b/verbenamast-wire/src/test/java/org/verbenamast/wire/PeerCodecTest.java
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.verbenamast.core.gate.runs.KeptRun;
 import org.verbenamast.core.membership.MemberRow;
 import org.verbenamast.core.membership.MemberStatus;
 import org.verbenamast.core.message.PeerMessage;
@@ -13,6 +14,7 @@
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.model.RequestId;
 import org.verbenamast.core.model.ServiceName;
+import org.verbenamast.core.model.SliceId;
 import org.verbenamast.core.model.Zone;
 import org.verbenamast.core.ownership.ChunkRow;
 import org.verbenamast.core.ownership.GrantOrigin;
@@ -43,11 +45,11 @@
         CallerRequest request =
                 new CallerRequest(STOCK, "key", Method.POST, "/a?b=c", List.of(header), body, "once", "00-1-2-01");
         return List.of(
-                new PeerMessage.Forward(ID, request, 5),
-                new PeerMessage.Ended(ID, new RequestOutcome.Answered(200, List.of(header), body)),
-                new PeerMessage.Ended(ID, new RequestOutcome.NotRun(NotRunReason.OVERLOADED)),
-                new PeerMessage.Ended(ID, new RequestOutcome.Unknown(UnknownReason.LINK_LOST)),
-                new PeerMessage.Cancel(ID),
+                new PeerMessage.Forward(ID, 2, request, 5),
+                new PeerMessage.Ended(ID, 1, new RequestOutcome.Answered(200, List.of(header), body)),
+                new PeerMessage.Ended(ID, 2, new RequestOutcome.NotRun(NotRunReason.OVERLOADED)),
+                new PeerMessage.Ended(ID, 3, new RequestOutcome.Unknown(UnknownReason.LINK_LOST)),
+                new PeerMessage.Cancel(ID, 4),
                 new PeerMessage.Vouch(OTHER, -5),
                 new PeerMessage.VouchReply(-5, true),
                 new PeerMessage.Seal(OTHER, SENDER),
@@ -56,7 +58,13 @@
                 new PeerMessage.DigestOffer(List.of(1L, -2L)),
                 new PeerMessage.BucketVersions(
                         List.of(3), List.of(new RowVersion(memberRow().key(), 4))),
-                new PeerMessage.RowRequest(List.of(chunkRow().key())));
+                new PeerMessage.RowRequest(List.of(chunkRow().key())),
+                new PeerMessage.RunRecords(
+                        new SliceId(STOCK, 5),
+                        9,
+                        1,
+                        2,
+                        List.of(new KeptRun("once", ID, new RequestOutcome.Answered(200, List.of(header), body)))));
     }
 
     private static Row memberRow() {
