Requests: a request that crashes backend servers is stopped in the whole fleet

Cause: a request that crashes each backend server that runs it could go on under any node. Ruled out: blaming by the broken connection alone (a cut is no crash) and refusing all that ran alongside (a popular read would stop). Change: a chart of the suspected request. One incident (connection broke) lets it run beside one backend server only, without another suspect; two hold it; two confirmed (new start id, silence, refused connection) stop it; a good run acquits it. Members tell each other and newcomers.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/Gate.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/Gate.java
@@ -1,6 +1,7 @@
 package org.verbenamast.core.gate;
 
 import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.gate.crash.SuspectStanding;
 import org.verbenamast.core.gate.runs.RunStanding;
 import org.verbenamast.core.request.RequestOutcome;
 
@@ -32,6 +33,23 @@
      */
     RequestOutcome recorded(ServeData data);
 
+    /**
+     * Tells whether crashes of backend servers speak against a request.
+     *
+     * @param data the request
+     * @return whether it may run
+     */
+    SuspectStanding suspicion(ServeData data);
+
+    /**
+     * Notes that a request was refused for the crashes that it caused.
+     *
+     * @param data the request
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    void refusedSuspect(ServeData data, long now, Effects effects);
+
     /**
      * Lets a request wait for the run of another send.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServeAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServeAction.java
@@ -94,6 +94,21 @@
             return reply(data, new RequestOutcome.NotRun(NotRunReason.RECORDS_AWAITED), effects);
         }
     },
+    /** Tells the sender that such requests crash backend servers. */
+    REFUSE_SUSPECT {
+        @Override
+        public ServeData apply(ServeData data, ServeInput input, long now, Effects effects) {
+            input.gate().refusedSuspect(data, now, effects);
+            return reply(data, new RequestOutcome.NotRun(NotRunReason.CRASH_SUSPECT), effects);
+        }
+    },
+    /** Tells the sender to try again when it is known whether such a request crashed a backend server. */
+    REFUSE_HELD {
+        @Override
+        public ServeData apply(ServeData data, ServeInput input, long now, Effects effects) {
+            return reply(data, new RequestOutcome.NotRun(NotRunReason.SUSPECT_HELD), effects);
+        }
+    },
     /** Tells the sender that the backend server takes no new work. */
     REFUSE_CLOSED {
         @Override
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServeDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServeDesk.java
@@ -13,8 +13,11 @@
 import org.verbenamast.core.chart.file.ChartReader;
 import org.verbenamast.core.effect.Effect;
 import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.gate.crash.SuspectDesk;
+import org.verbenamast.core.gate.crash.SuspectStanding;
 import org.verbenamast.core.gate.limit.RampSettings;
 import org.verbenamast.core.gate.limit.ServerDesk;
+import org.verbenamast.core.gate.limit.ServerTag;
 import org.verbenamast.core.gate.runs.RunDesk;
 import org.verbenamast.core.gate.runs.RunKey;
 import org.verbenamast.core.gate.runs.RunLimits;
@@ -45,6 +48,7 @@
     private final ServiceSettings service;
     private final MemberDesk member;
     private final OwnershipDesk ownership;
+    private final SuspectDesk suspects;
     private final RunDesk runs;
     private final ServerDesk server;
     private final Population<RequestId, ServeEvent, ServeData, ServeInput> requests;
@@ -58,13 +62,20 @@
      * @param settings the node's settings
      * @param member the node's own membership
      * @param ownership the slices that the node owns
+     * @param suspects the requests that are suspected to crash backend servers
      * @param listener is told of each transition
      */
-    public ServeDesk(CoreSettings settings, MemberDesk member, OwnershipDesk ownership, TransitionListener listener) {
+    public ServeDesk(
+            CoreSettings settings,
+            MemberDesk member,
+            OwnershipDesk ownership,
+            SuspectDesk suspects,
+            TransitionListener listener) {
         this.settings = Objects.requireNonNull(settings, "settings");
         this.service = settings.serviceOf(settings.service()).orElseThrow();
         this.member = Objects.requireNonNull(member, "member");
         this.ownership = Objects.requireNonNull(ownership, "ownership");
+        this.suspects = Objects.requireNonNull(suspects, "suspects");
         this.runs = new RunDesk(settings.self(), service, RunLimits.DEFAULT, listener);
         this.server = new ServerDesk(settings.self(), RampSettings.DEFAULT, listener);
         Chart<ServeEvent, ServeData, ServeInput> chart = ChartReader.bundled("serve", VOCABULARY);
@@ -92,7 +103,7 @@
 
     private ServeData dataOf(MemberId from, PeerMessage.Forward forward, long now) {
         CallerRequest request = forward.request();
-        SliceId slice = request.slice(service).orElse(null);
+        SliceId slice = request.slice(service).orElseGet(() -> suspects.sliceOf(request, service));
         RunKey run = request.method().idempotent() ? null : RunKey.of(forward.id(), request, slice);
         long deadline = now + forward.remainingNanos();
         return new ServeData(forward.id(), forward.attempt(), from, request, slice, run, deadline);
@@ -133,6 +144,7 @@
      * @param effects the sink of the effects
      */
     public void announced(ServerAnnouncement announcement, long now, Effects effects) {
+        suspects.announced(announcement.start(), now, effects);
         server.announced(announcement, now, effects);
         admitNext(now, effects);
     }
@@ -162,6 +174,9 @@
         requests.advance(now, effects);
         runs.advance(now, effects);
         server.advance(now, effects);
+        if (server.is(ServerTag.SILENT)) {
+            suspects.unreachable(now, effects);
+        }
         admitNext(now, effects);
     }
 
@@ -228,6 +243,16 @@
         return runs.outcome(data.run());
     }
 
+    @Override
+    public SuspectStanding suspicion(ServeData data) {
+        return suspects.standing(data.request(), service, data.slice());
+    }
+
+    @Override
+    public void refusedSuspect(ServeData data, long now, Effects effects) {
+        suspects.refused(data.request(), now, effects);
+    }
+
     @Override
     public void follow(ServeData data) {
         followers.add(data.run(), data.id());
@@ -261,6 +286,7 @@
     @Override
     public void call(ServeData data, long now, Effects effects) {
         server.started(data.id(), now);
+        suspects.started(data.request());
         if (data.run() != null) {
             runs.begun(data.run(), data.id(), now);
         }
@@ -277,7 +303,9 @@
 
     @Override
     public void release(ServeData data, ServerReply reply, long now, Effects effects) {
+        String start = server.startOf(data.id());
         server.ended(data.id(), reply.kind(), now, effects);
+        reply.kind().testify(suspects, data.request(), start, now, effects);
         if (data.run() != null) {
             runs.ended(data.run(), reply.kind().outcome(reply), now, effects);
         }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServeGuard.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServeGuard.java
@@ -1,6 +1,7 @@
 package org.verbenamast.core.gate;
 
 import org.verbenamast.core.chart.Guard;
+import org.verbenamast.core.gate.crash.SuspectStanding;
 import org.verbenamast.core.gate.runs.RunStanding;
 
 /** The conditions in the chart of a request at the member whose backend server is to run it. */
@@ -47,6 +48,20 @@
             return input.gate().standing(data) == RunStanding.FULL;
         }
     },
+    /** Backend servers crashed while they ran such a request. */
+    SUSPECT_STOPPED {
+        @Override
+        public boolean permits(ServeData data, ServeInput input, long now) {
+            return input.gate().suspicion(data) == SuspectStanding.STOPPED;
+        }
+    },
+    /** A backend server may have crashed while it ran such a request. */
+    SUSPECT_HELD {
+        @Override
+        public boolean permits(ServeData data, ServeInput input, long now) {
+            return input.gate().suspicion(data) == SuspectStanding.HELD;
+        }
+    },
     /** The backend server takes no new work. */
     SERVER_CLOSED {
         @Override
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServerReplyKind.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServerReplyKind.java
@@ -1,6 +1,9 @@
 package org.verbenamast.core.gate;
 
+import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.gate.crash.SuspectDesk;
 import org.verbenamast.core.gate.limit.ServerEvent;
+import org.verbenamast.core.request.CallerRequest;
 import org.verbenamast.core.request.NotRunReason;
 import org.verbenamast.core.request.RequestOutcome;
 import org.verbenamast.core.request.UnknownReason;
@@ -9,6 +12,11 @@
 public enum ServerReplyKind {
     /** The backend server answered. */
     ANSWERED(ServerEvent.SUCCEEDED) {
+        @Override
+        void testify(SuspectDesk suspects, CallerRequest request, String start, long now, Effects effects) {
+            suspects.answered(request, now, effects);
+        }
+
         @Override
         public RequestOutcome outcome(ServerReply reply) {
             return reply.answer();
@@ -16,6 +24,11 @@
     },
     /** The backend server refused the request without running it. */
     SHED(ServerEvent.SHED) {
+        @Override
+        void testify(SuspectDesk suspects, CallerRequest request, String start, long now, Effects effects) {
+            suspects.released(request);
+        }
+
         @Override
         public RequestOutcome outcome(ServerReply reply) {
             return new RequestOutcome.NotRun(NotRunReason.SHED);
@@ -23,6 +36,12 @@
     },
     /** The backend server was never given the request. */
     UNREACHABLE(ServerEvent.CONNECTION_FAILED) {
+        @Override
+        void testify(SuspectDesk suspects, CallerRequest request, String start, long now, Effects effects) {
+            suspects.released(request);
+            suspects.unreachable(now, effects);
+        }
+
         @Override
         public RequestOutcome outcome(ServerReply reply) {
             return new RequestOutcome.NotRun(NotRunReason.SERVER_UNREACHABLE);
@@ -30,6 +49,11 @@
     },
     /** The connection broke while the backend server had the request. */
     LOST(ServerEvent.CONNECTION_FAILED) {
+        @Override
+        void testify(SuspectDesk suspects, CallerRequest request, String start, long now, Effects effects) {
+            suspects.lost(request, start, now, effects);
+        }
+
         @Override
         public RequestOutcome outcome(ServerReply reply) {
             return new RequestOutcome.Unknown(UnknownReason.SERVER_LOST);
@@ -42,6 +66,17 @@
         this.serverEvent = serverEvent;
     }
 
+    /**
+     * Tells what this end says of the request as a possible cause of crashes.
+     *
+     * @param suspects takes what it says
+     * @param request the request
+     * @param start the start id of the run of the backend server that had the request
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    abstract void testify(SuspectDesk suspects, CallerRequest request, String start, long now, Effects effects);
+
     /**
      * Returns what this end says of the backend server.
      *
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/crash/SuspectDesk.java
@@ -0,0 +1,290 @@
+package org.verbenamast.core.gate.crash;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+
+import org.verbenamast.core.chart.Chart;
+import org.verbenamast.core.chart.Instance;
+import org.verbenamast.core.chart.Population;
+import org.verbenamast.core.chart.TransitionListener;
+import org.verbenamast.core.chart.Vocabulary;
+import org.verbenamast.core.chart.file.ChartReader;
+import org.verbenamast.core.effect.Effect;
+import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.membership.Directory;
+import org.verbenamast.core.membership.MemberRow;
+import org.verbenamast.core.message.PeerMessage;
+import org.verbenamast.core.model.MemberId;
+import org.verbenamast.core.model.ServiceSettings;
+import org.verbenamast.core.model.SliceId;
+import org.verbenamast.core.request.CallerRequest;
+
+/** The requests that are suspected to crash backend servers, in the whole fleet. */
+public final class SuspectDesk {
+
+    /** The names that the chart file may use. */
+    public static final Vocabulary<SuspectEvent, SuspectGuard, SuspectAction, SuspectTimer, SuspectTag> VOCABULARY =
+            new Vocabulary<>(
+                    SuspectEvent.class, SuspectGuard.class, SuspectAction.class, SuspectTimer.class, SuspectTag.class);
+
+    private static final int MAX_SUSPECTS = 4_096;
+    private static final int TEACHERS = 2;
+
+    private final MemberId self;
+    private final Directory directory;
+    private final Population<Fingerprint, SuspectEvent, SuspectData, SuspectInput> suspects;
+    private final LocalIncidents incidents = new LocalIncidents();
+    private final Map<Fingerprint, Integer> running = new HashMap<>();
+
+    /**
+     * Makes a desk that suspects nothing.
+     *
+     * @param self this node
+     * @param directory the members, which are told of suspicions
+     * @param listener is told of each transition
+     */
+    public SuspectDesk(MemberId self, Directory directory, TransitionListener listener) {
+        this.self = Objects.requireNonNull(self, "self");
+        this.directory = Objects.requireNonNull(directory, "directory");
+        Chart<SuspectEvent, SuspectData, SuspectInput> chart = ChartReader.bundled("suspect", VOCABULARY);
+        this.suspects = new Population<>(chart, event -> SuspectInput.NONE, listener);
+    }
+
+    /**
+     * Finds the slice whose owner alone may run a request because it is suspected.
+     *
+     * @param request the request
+     * @param service the request's service
+     * @return the slice, or null where the request is not suspected or has an owner anyway
+     */
+    public SliceId sliceOf(CallerRequest request, ServiceSettings service) {
+        boolean owned = service.keyed() || request.resendable();
+        if (suspects.size() == 0 || owned) {
+            return null;
+        }
+        Fingerprint fingerprint = Fingerprint.of(request);
+        return is(fingerprint, SuspectTag.RUNS_ALONE) ? fingerprint.slice(service) : null;
+    }
+
+    /**
+     * Tells whether a request may run at this node.
+     *
+     * @param request the request
+     * @param service the request's service
+     * @param slice the slice whose owner this node is for the request, or null
+     * @return whether crashes speak against it
+     */
+    public SuspectStanding standing(CallerRequest request, ServiceSettings service, SliceId slice) {
+        if (suspects.size() == 0) {
+            return SuspectStanding.CLEAR;
+        }
+        Fingerprint fingerprint = Fingerprint.of(request);
+        if (is(fingerprint, SuspectTag.STOPPED)) {
+            return SuspectStanding.STOPPED;
+        }
+        if (is(fingerprint, SuspectTag.HELD)) {
+            return SuspectStanding.HELD;
+        }
+        return is(fingerprint, SuspectTag.RUNS_ALONE)
+                ? alone(fingerprint, request, service, slice)
+                : SuspectStanding.CLEAR;
+    }
+
+    private SuspectStanding alone(
+            Fingerprint fingerprint, CallerRequest request, ServiceSettings service, SliceId slice) {
+        if (!service.keyed() && request.resendable()) {
+            return SuspectStanding.STOPPED;
+        }
+        boolean here = service.keyed() || fingerprint.slice(service).equals(slice);
+        return here && !suspectRuns() ? SuspectStanding.CLEAR : SuspectStanding.HELD;
+    }
+
+    /** Tells whether the backend server has a suspected request; two at once would both be blamed for a crash. */
+    private boolean suspectRuns() {
+        return running.keySet().stream().anyMatch(fingerprint -> suspects.find(fingerprint) != null);
+    }
+
+    private boolean is(Fingerprint fingerprint, SuspectTag tag) {
+        Instance<SuspectData> suspect = suspects.find(fingerprint);
+        return suspect != null && suspect.is(tag);
+    }
+
+    /**
+     * Notes that the backend server is given a request.
+     *
+     * @param request the request
+     */
+    public void started(CallerRequest request) {
+        running.merge(Fingerprint.of(request), 1, Integer::sum);
+    }
+
+    /**
+     * Notes that a request was refused for the crashes that it caused.
+     *
+     * @param request the request
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void refused(CallerRequest request, long now, Effects effects) {
+        suspects.fire(Fingerprint.of(request), SuspectEvent.REFUSED, SuspectInput.NONE, now, effects);
+    }
+
+    /**
+     * Notes that the backend server answered a request.
+     *
+     * @param request the request
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void answered(CallerRequest request, long now, Effects effects) {
+        Fingerprint fingerprint = Fingerprint.of(request);
+        left(fingerprint);
+        if (is(fingerprint, SuspectTag.RUNS_ALONE)) {
+            tell(List.of(fingerprint), "", CrashNews.RAN_WELL, now, effects);
+        }
+    }
+
+    /**
+     * Accuses a request: the connection broke while the backend server had it.
+     *
+     * @param request the request
+     * @param start the start id of the run of the backend server that had it
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void lost(CallerRequest request, String start, long now, Effects effects) {
+        Fingerprint fingerprint = Fingerprint.of(request);
+        left(fingerprint);
+        incidents.add(start, fingerprint);
+        tell(List.of(fingerprint), incident(start), CrashNews.ACCUSED, now, effects);
+    }
+
+    /**
+     * Notes that a request ended without being run or answered.
+     *
+     * @param request the request
+     */
+    public void released(CallerRequest request) {
+        left(Fingerprint.of(request));
+    }
+
+    private void left(Fingerprint fingerprint) {
+        running.computeIfPresent(fingerprint, (known, count) -> count == 1 ? null : count - 1);
+    }
+
+    /**
+     * Decides by an announcement whether broken connections were crashes.
+     *
+     * @param start the start id in the announcement
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void announced(String start, long now, Effects effects) {
+        tell(incidents.announced(start), now, effects);
+    }
+
+    /**
+     * Takes the backend server's absence as proof that broken connections were crashes.
+     *
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void unreachable(long now, Effects effects) {
+        tell(incidents.unreachable(), now, effects);
+    }
+
+    private void tell(List<LocalIncidents.Decided> decided, long now, Effects effects) {
+        decided.forEach(done -> tell(done.fingerprints(), incident(done.start()), done.news(), now, effects));
+    }
+
+    private String incident(String start) {
+        return self + "/" + start;
+    }
+
+    private void tell(List<Fingerprint> fingerprints, String incident, CrashNews news, long now, Effects effects) {
+        PeerMessage.CrashNotice notice = new PeerMessage.CrashNotice(fingerprints, incident, news);
+        heard(notice, now, effects);
+        for (MemberRow member : directory.members()) {
+            if (!member.id().equals(self) && !member.status().over()) {
+                effects.emit(new Effect.SendToPeer(member.id(), notice));
+            }
+        }
+    }
+
+    /**
+     * Takes news from a member.
+     *
+     * @param notice the news
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void heard(PeerMessage.CrashNotice notice, long now, Effects effects) {
+        SuspectInput input = new SuspectInput(notice.incident());
+        for (Fingerprint fingerprint : notice.fingerprints()) {
+            boolean known = suspects.find(fingerprint) != null;
+            if (known) {
+                suspects.fire(fingerprint, notice.news().event(), input, now, effects);
+            } else if (notice.news().accuses() && suspects.size() < MAX_SUSPECTS) {
+                SuspectData suspect = new SuspectData(fingerprint, Set.of(notice.incident()), Set.of(), Set.of());
+                suspects.begin(fingerprint, suspect, now);
+                suspects.fire(fingerprint, notice.news().event(), input, now, effects);
+            }
+        }
+    }
+
+    /**
+     * Tells a new member what is suspected, if this node is one of its teachers.
+     *
+     * @param newcomer the member
+     * @param effects the sink of the effects
+     */
+    public void joined(MemberId newcomer, Effects effects) {
+        if (suspects.size() == 0 || !teaches(newcomer)) {
+            return;
+        }
+        suspects.forEach((fingerprint, suspect) -> {
+            teach(newcomer, fingerprint, suspect.data().open(), CrashNews.ACCUSED, effects);
+            teach(newcomer, fingerprint, suspect.data().crashed(), CrashNews.CONFIRMED, effects);
+        });
+    }
+
+    private boolean teaches(MemberId newcomer) {
+        List<MemberId> living = new ArrayList<>();
+        directory.members().stream()
+                .filter(member -> !member.status().over())
+                .forEach(member -> living.add(member.id()));
+        int distance = Math.floorMod(living.indexOf(newcomer) - living.indexOf(self), Math.max(1, living.size()));
+        return distance >= 1 && distance <= TEACHERS;
+    }
+
+    private static void teach(
+            MemberId to, Fingerprint fingerprint, Set<String> incidents, CrashNews news, Effects effects) {
+        for (String incident : incidents) {
+            PeerMessage notice = new PeerMessage.CrashNotice(List.of(fingerprint), incident, news);
+            effects.emit(new Effect.SendToPeer(to, notice));
+        }
+    }
+
+    /**
+     * Fires the timers that are due.
+     *
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void advance(long now, Effects effects) {
+        suspects.advance(now, effects);
+    }
+
+    /**
+     * Returns when this desk has something to do next.
+     *
+     * @return the monotonic time, in nanoseconds
+     */
+    public long nextDue() {
+        return suspects.nextDue();
+    }
+}
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/limit/ServerDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/limit/ServerDesk.java
@@ -26,9 +26,11 @@
 
     private static final int LEAST_SLOW = 2;
 
+    private record Started(long at, String start) {}
+
     private final MemberId self;
     private final Population<MemberId, ServerEvent, ServerData, ServerInput> server;
-    private final Map<RequestId, Long> startedAt = new LinkedHashMap<>();
+    private final Map<RequestId, Started> running = new LinkedHashMap<>();
 
     /**
      * Makes the desk of a backend server that has not announced itself.
@@ -62,7 +64,17 @@
      * @param now the monotonic time, in nanoseconds
      */
     public void started(RequestId id, long now) {
-        startedAt.put(id, now);
+        running.put(id, new Started(now, data().announcement().start()));
+    }
+
+    /**
+     * Returns the start id of the run of the backend server that was given a request.
+     *
+     * @param id the identity of a request that the backend server has
+     * @return the start id
+     */
+    public String startOf(RequestId id) {
+        return running.get(id).start();
     }
 
     /**
@@ -74,8 +86,8 @@
      * @param effects the sink of the effects
      */
     public void ended(RequestId id, ServerReplyKind kind, long now, Effects effects) {
-        Long start = startedAt.remove(id);
-        long latency = start == null ? 0 : now - start;
+        Started started = running.remove(id);
+        long latency = started == null ? 0 : now - started.at();
         fire(kind.serverEvent(), new ServerInput(null, latency), now, effects);
     }
 
@@ -88,13 +100,13 @@
     public void review(long now, Effects effects) {
         Latency latency = data().latency();
         int slow = 0;
-        for (long start : startedAt.values()) {
-            if (!latency.slow(now - start)) {
+        for (Started started : running.values()) {
+            if (!latency.slow(now - started.at())) {
                 break;
             }
             slow++;
         }
-        if (slow >= LEAST_SLOW && slow * 2 >= startedAt.size()) {
+        if (slow >= LEAST_SLOW && slow * 2 >= running.size()) {
             fire(ServerEvent.SLOWED, ServerInput.NONE, now, effects);
         }
     }
@@ -142,7 +154,7 @@
      * @return the number, those for which nobody waits any more included
      */
     public int running() {
-        return startedAt.size();
+        return running.size();
     }
 
     /**
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/limit/ServerTag.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/limit/ServerTag.java
@@ -6,6 +6,6 @@
     OPEN,
     /** The backend server may fall over under its full load. */
     COLD,
-    /** The backend server can't be reached. */
-    UNREACHABLE
+    /** The backend server has not announced itself for too long. */
+    SILENT
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/message/PeerMessage.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/message/PeerMessage.java
@@ -4,6 +4,8 @@
 import java.util.Objects;
 
 import org.verbenamast.core.check.Checks;
+import org.verbenamast.core.gate.crash.CrashNews;
+import org.verbenamast.core.gate.crash.Fingerprint;
 import org.verbenamast.core.gate.runs.KeptRun;
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.model.RequestId;
@@ -274,4 +276,26 @@
             handler.onRunRecords(from, this, now);
         }
     }
+
+    /**
+     * Tells what is held against requests that a backend server had when its connection broke.
+     *
+     * @param fingerprints the requests' fingerprints
+     * @param incident the id of the incident, or an empty text
+     * @param news what is told
+     */
+    record CrashNotice(List<Fingerprint> fingerprints, String incident, CrashNews news) implements PeerMessage {
+
+        /** Checks the parts and copies the list. */
+        public CrashNotice {
+            fingerprints = List.copyOf(fingerprints);
+            Objects.requireNonNull(incident, "incident");
+            Objects.requireNonNull(news, "news");
+        }
+
+        @Override
+        public void deliver(PeerMessageHandler handler, MemberId from, long now) {
+            handler.onCrashNotice(from, this, now);
+        }
+    }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/message/PeerMessageHandler.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/message/PeerMessageHandler.java
@@ -112,4 +112,13 @@
      * @param now the monotonic time, in nanoseconds
      */
     void onRunRecords(MemberId from, PeerMessage.RunRecords message, long now);
+
+    /**
+     * Takes what is held against requests that may have crashed backend servers.
+     *
+     * @param from the sender
+     * @param message the message
+     * @param now the monotonic time, in nanoseconds
+     */
+    void onCrashNotice(MemberId from, PeerMessage.CrashNotice message, long now);
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeCore.java
@@ -8,8 +8,10 @@
 import org.verbenamast.core.effect.Effect;
 import org.verbenamast.core.gate.ServeDesk;
 import org.verbenamast.core.gate.ServerReply;
+import org.verbenamast.core.gate.crash.SuspectDesk;
 import org.verbenamast.core.membership.Directory;
 import org.verbenamast.core.membership.MemberDesk;
+import org.verbenamast.core.membership.MemberRow;
 import org.verbenamast.core.membership.MemberTag;
 import org.verbenamast.core.membership.ServerAnnouncement;
 import org.verbenamast.core.membership.SpreadDesk;
@@ -47,6 +49,7 @@
     private final OwnershipDesk ownership;
     private final EntryDesk entries;
     private final ServeDesk serving;
+    private final SuspectDesk suspects;
     private final Deque<NodeInput> toSelf = new ArrayDeque<>();
     private List<Effect> effects = new ArrayList<>();
 
@@ -63,9 +66,10 @@
         this.spread = new SpreadDesk(settings, directory, store, this);
         this.ownership =
                 new OwnershipDesk(settings, directory, store, now -> member.is(MemberTag.JOINED), this, decisions);
-        DirectoryRouter router = new DirectoryRouter(settings, directory, RoutePolicy.DEFAULT, decisions);
+        this.suspects = new SuspectDesk(settings.self(), directory, decisions);
+        DirectoryRouter router = new DirectoryRouter(settings, directory, suspects, RoutePolicy.DEFAULT, decisions);
         this.entries = new EntryDesk(settings, router, decisions);
-        this.serving = new ServeDesk(settings, member, ownership, decisions);
+        this.serving = new ServeDesk(settings, member, ownership, suspects, decisions);
     }
 
     /**
@@ -92,6 +96,7 @@
         ownership.advance(now, this::emit);
         entries.advance(now, this::emit);
         serving.advance(now, this::emit);
+        suspects.advance(now, this::emit);
         if (member.is(MemberTag.STOPPING) && ownership.owned() == 0 && serving.open() == 0 && entries.open() == 0) {
             member.emptied(now, this::emit);
         }
@@ -111,7 +116,8 @@
      * @return the monotonic time, in nanoseconds
      */
     public long nextDue() {
-        long due = Math.min(store.nextDue(), Math.min(member.nextDue(), spread.nextDue()));
+        long due = Math.min(suspects.nextDue(), store.nextDue());
+        due = Math.min(due, Math.min(member.nextDue(), spread.nextDue()));
         return Math.min(due, Math.min(ownership.nextDue(), Math.min(entries.nextDue(), serving.nextDue())));
     }
 
@@ -181,7 +187,11 @@
     }
 
     private void learn(Row row, long now) {
+        boolean newcomer = row.value() instanceof MemberRow member && directory.member(member.id()) == null;
         if (directory.learn(row)) {
+            if (newcomer) {
+                suspects.joined(((MemberRow) row.value()).id(), this::emit);
+            }
             member.learnt(row, now, this::emit);
             ownership.learnt(row, now, this::emit);
             serving.runs().learnt(row, now, this::emit);
@@ -273,6 +283,11 @@
         // Digests are not compared here yet.
     }
 
+    @Override
+    public void onCrashNotice(MemberId from, PeerMessage.CrashNotice message, long now) {
+        suspects.heard(message, now, this::emit);
+    }
+
     @Override
     public void onRunRecords(MemberId from, PeerMessage.RunRecords message, long now) {
         serving.runs().recordsCame(message, now, this::emit);
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/DirectoryRouter.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/DirectoryRouter.java
@@ -9,6 +9,7 @@
 import java.util.Random;
 
 import org.verbenamast.core.chart.TransitionListener;
+import org.verbenamast.core.gate.crash.SuspectDesk;
 import org.verbenamast.core.membership.Directory;
 import org.verbenamast.core.membership.MemberRow;
 import org.verbenamast.core.model.MemberId;
@@ -26,6 +27,7 @@
 
     private final CoreSettings settings;
     private final Directory directory;
+    private final SuspectDesk suspects;
     private final RoutePolicy policy;
     private final Random random;
     private final MemberSignals signals = new MemberSignals();
@@ -38,13 +40,19 @@
      *
      * @param settings the node's settings
      * @param directory the rows that the node knows
+     * @param suspects the requests that only one member may run
      * @param policy how members are chosen
      * @param listener is told of each transition
      */
     public DirectoryRouter(
-            CoreSettings settings, Directory directory, RoutePolicy policy, TransitionListener listener) {
+            CoreSettings settings,
+            Directory directory,
+            SuspectDesk suspects,
+            RoutePolicy policy,
+            TransitionListener listener) {
         this.settings = Objects.requireNonNull(settings, "settings");
         this.directory = Objects.requireNonNull(directory, "directory");
+        this.suspects = Objects.requireNonNull(suspects, "suspects");
         this.policy = Objects.requireNonNull(policy, "policy");
         this.random = new Random(settings.seed());
         this.health = new HealthDesk(listener);
@@ -55,7 +63,8 @@
     public boolean choose(EntryData data, long now) {
         health.advance(now);
         ServiceSettings service = serviceOf(data);
-        Optional<SliceId> slice = data.request().slice(service);
+        Optional<SliceId> slice =
+                data.request().slice(service).or(() -> Optional.ofNullable(suspects.sliceOf(data.request(), service)));
         chosen = slice.isPresent() ? ownerOf(slice.get()) : anyOf(service.name(), data, now);
         if (chosen.isNone()) {
             return false;
@@ -100,6 +109,9 @@
 
     @Override
     public boolean chooseHedge(EntryData data, long now) {
+        if (suspects.sliceOf(data.request(), serviceOf(data)) != null) {
+            return false;
+        }
         MemberId other = anyOf(data.request().service(), data, now);
         if (other.isNone() || health.parked(other) || !budgetsOf(data).hedges().spend()) {
             return false;
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/NotRunReason.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/NotRunReason.java
@@ -28,6 +28,8 @@
     SHED(503, Retry.ELSEWHERE, Scope.THIS_SEND),
     /** The backend server can't be reached. */
     SERVER_UNREACHABLE(503, Retry.ELSEWHERE, Scope.THIS_SEND),
+    /** A backend server may have crashed while it ran such a request; it is not known yet. */
+    SUSPECT_HELD(503, Retry.LATER, Scope.THIS_SEND),
     /** Backend servers crashed while they ran such a request. */
     CRASH_SUSPECT(422, Retry.NEVER, Scope.THIS_SEND),
     /** The deadline passed before a backend server was given the request. */
--- a/verbenamast-core/src/test/java/org/verbenamast/core/request/FakeNode.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/request/FakeNode.java
@@ -24,6 +24,8 @@
 /** A node's decisions with a backend server, links and a store that fail at random. */
 final class FakeNode {
 
+    static final String CRASHING = "/crash";
+
     private static final long READY_NANOS = Timing.nanos(1_200);
     private static final long ANNOUNCE_NANOS = Timing.nanos(200);
 
@@ -37,6 +39,7 @@
     private long lastSequence;
     private final long begunAt;
     private boolean stopping;
+    private boolean down;
     boolean alive = true;
 
     FakeNode(FaultyFleet fleet, MemberId id) {
@@ -67,6 +70,7 @@
 
     private void announce() {
         if (alive) {
+            down = false;
             Address server = new Address("127.0.0.1", 2);
             ServerAnnouncement announcement =
                     new ServerAnnouncement(FaultyFleet.VISIT.name(), server, id + "/" + starts, 4, 0, false);
@@ -142,6 +146,15 @@
         RequestId request = call.id();
         atServer.add(request);
         int start = starts;
+        if (down) {
+            fleet.after(1, () -> replied(request, start, ServerReplyKind.UNREACHABLE, null));
+            return;
+        }
+        if (call.request().path().startsWith(CRASHING)) {
+            fleet.ran(request, call.request());
+            fleet.after(fleet.millis(2, 6), this::crash);
+            return;
+        }
         int fate = fleet.random(100);
         if (fate < fleet.faults().shed()) {
             fleet.after(fleet.millis(1, 3), () -> replied(request, start, ServerReplyKind.SHED, null));
@@ -162,6 +175,14 @@
         }
     }
 
+    private void crash() {
+        if (!down) {
+            fleet.crashed();
+            down = true;
+            restartServer();
+        }
+    }
+
     /** Ends the backend server's run: each request that it had is lost. */
     void restartServer() {
         starts++;
--- a/verbenamast-core/src/test/java/org/verbenamast/core/request/FaultyFleet.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/request/FaultyFleet.java
@@ -35,6 +35,7 @@
     private final Map<String, List<Long>> runs = new HashMap<>();
     private final Map<RequestId, CallerRequest> asked = new HashMap<>();
     private final List<Told> told = new ArrayList<>();
+    private int crashes;
     private long now = 1;
     private long lastStep;
     private long incarnations;
@@ -169,6 +170,14 @@
         }
     }
 
+    void crashed() {
+        crashes++;
+    }
+
+    int crashes() {
+        return crashes;
+    }
+
     Map<String, List<Long>> runs() {
         return runs;
     }
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerCodec.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerCodec.java
@@ -82,6 +82,7 @@
             case BUCKET_VERSIONS -> RowCodec.decode(envelope.getBucketVersions());
             case ROW_REQUEST -> RowCodec.decode(envelope.getRowRequest());
             case RUN_RECORDS -> RunCodec.decode(envelope.getRunRecords());
+            case CRASH_NOTICE -> RunCodec.decode(envelope.getCrashNotice());
             case KIND_NOT_SET -> throw WireException.shouldHaveKnownKind();
         };
     }
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerEncoder.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerEncoder.java
@@ -88,4 +88,9 @@
     public void onRunRecords(MemberId from, PeerMessage.RunRecords message, long now) {
         envelope.setRunRecords(RunCodec.encode(message));
     }
+
+    @Override
+    public void onCrashNotice(MemberId from, PeerMessage.CrashNotice message, long now) {
+        envelope.setCrashNotice(RunCodec.encode(message));
+    }
 }
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/RunCodec.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/RunCodec.java
@@ -3,13 +3,16 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import org.verbenamast.core.gate.crash.CrashNews;
+import org.verbenamast.core.gate.crash.Fingerprint;
 import org.verbenamast.core.gate.runs.KeptRun;
 import org.verbenamast.core.message.PeerMessage;
 import org.verbenamast.core.model.ServiceName;
 import org.verbenamast.core.model.SliceId;
+import org.verbenamast.wire.generated.CrashNotice;
 import org.verbenamast.wire.generated.RunRecords;
 
-/** Maps the records of non-idempotent requests to protobuf and back. */
+/** Maps the records of non-idempotent requests and of crashes to protobuf and back. */
 final class RunCodec {
 
     private static final int ATTEMPT_NOT_KEPT = 1;
@@ -43,4 +46,19 @@
         SliceId slice = new SliceId(new ServiceName(records.getService()), records.getSlice());
         return new PeerMessage.RunRecords(slice, records.getEpoch(), records.getPart(), records.getParts(), runs);
     }
+
+    static CrashNotice encode(PeerMessage.CrashNotice notice) {
+        return CrashNotice.newBuilder()
+                .addAllFingerprints(PeerCodec.map(notice.fingerprints(), Fingerprint::value))
+                .setIncident(notice.incident())
+                .setNews(notice.news().name())
+                .build();
+    }
+
+    static PeerMessage.CrashNotice decode(CrashNotice notice) {
+        return new PeerMessage.CrashNotice(
+                PeerCodec.map(notice.getFingerprintsList(), Fingerprint::new),
+                notice.getIncident(),
+                CrashNews.valueOf(notice.getNews()));
+    }
 }
--- a/verbenamast-wire/src/test/java/org/verbenamast/wire/PeerCodecTest.java
+++ b/verbenamast-wire/src/test/java/org/verbenamast/wire/PeerCodecTest.java
@@ -5,6 +5,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.verbenamast.core.gate.crash.CrashNews;
+import org.verbenamast.core.gate.crash.Fingerprint;
 import org.verbenamast.core.gate.runs.KeptRun;
 import org.verbenamast.core.membership.MemberRow;
 import org.verbenamast.core.membership.MemberStatus;
@@ -59,6 +61,7 @@
                 new PeerMessage.BucketVersions(
                         List.of(3), List.of(new RowVersion(memberRow().key(), 4))),
                 new PeerMessage.RowRequest(List.of(chunkRow().key())),
+                new PeerMessage.CrashNotice(List.of(new Fingerprint(-3)), "stock-1~7/start", CrashNews.CONFIRMED),
                 new PeerMessage.RunRecords(
                         new SliceId(STOCK, 5),
                         9,
