--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServeDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServeDesk.java
@@ -227,7 +227,9 @@
 
     @Override
     public boolean mayServe(ServeData data, long now) {
-        if (!member.is(MemberTag.JOINED) || !data.request().service().equals(service.name())) {
+        if (!suspects.ready()
+                || !member.is(MemberTag.JOINED)
+                || !data.request().service().equals(service.name())) {
             return false;
         }
         return data.slice() == null ? !member.is(MemberTag.STOPPING) : ownership.admits(data.slice(), now);
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServerReplyKind.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServerReplyKind.java
@@ -48,7 +48,7 @@
         }
     },
     /** The connection broke while the backend server had the request. */
-    LOST(ServerEvent.CONNECTION_FAILED) {
+    LOST(ServerEvent.CONNECTION_LOST) {
         @Override
         void testify(SuspectDesk suspects, CallerRequest request, String start, long now, Effects effects) {
             suspects.lost(request, start, now, effects);
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/crash/SuspectDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/crash/SuspectDesk.java
@@ -31,14 +31,24 @@
             new Vocabulary<>(
                     SuspectEvent.class, SuspectGuard.class, SuspectAction.class, SuspectTimer.class, SuspectTag.class);
 
+    /** The names that the chart file of a node that has just started may use. */
+    public static final Vocabulary<BootstrapEvent, BootstrapGuard, BootstrapAction, BootstrapTimer, BootstrapTag>
+            BOOTSTRAP = new Vocabulary<>(
+                    BootstrapEvent.class,
+                    BootstrapGuard.class,
+                    BootstrapAction.class,
+                    BootstrapTimer.class,
+                    BootstrapTag.class);
+
     private static final int MAX_SUSPECTS = 4_096;
-    private static final int TEACHERS = 2;
 
     private final MemberId self;
     private final Directory directory;
     private final Population<Fingerprint, SuspectEvent, SuspectData, SuspectInput> suspects;
+    private final Population<MemberId, BootstrapEvent, Integer, BootstrapInput> bootstrap;
     private final LocalIncidents incidents = new LocalIncidents();
     private final Map<Fingerprint, Integer> running = new HashMap<>();
+    private boolean begun;
 
     /**
      * Makes a desk that suspects nothing.
@@ -52,6 +62,9 @@
         this.directory = Objects.requireNonNull(directory, "directory");
         Chart<SuspectEvent, SuspectData, SuspectInput> chart = ChartReader.bundled("suspect", VOCABULARY);
         this.suspects = new Population<>(chart, event -> SuspectInput.NONE, listener);
+        Chart<BootstrapEvent, Integer, BootstrapInput> start = ChartReader.bundled("bootstrap", BOOTSTRAP);
+        this.bootstrap = new Population<>(start, event -> BootstrapInput.NONE, listener);
+        bootstrap.begin(self, 0, 0);
     }
 
     /**
@@ -143,7 +156,7 @@
     public void answered(CallerRequest request, long now, Effects effects) {
         Fingerprint fingerprint = Fingerprint.of(request);
         left(fingerprint);
-        if (is(fingerprint, SuspectTag.RUNS_ALONE)) {
+        if (is(fingerprint, SuspectTag.RUNS_ALONE) || is(fingerprint, SuspectTag.HELD)) {
             tell(List.of(fingerprint), "", CrashNews.RAN_WELL, now, effects);
         }
     }
@@ -237,36 +250,63 @@
     }
 
     /**
-     * Tells a new member what is suspected, if this node is one of its teachers.
+     * Takes another member that this node has learnt of.
+     *
+     * @param member the member
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void learnt(MemberId member, long now, Effects effects) {
+        if (!member.equals(self)) {
+            bootstrap.fire(self, BootstrapEvent.MEMBER_LEARNT, new BootstrapInput(member), now, effects);
+        }
+    }
+
+    /**
+     * Tells a member that has just started what this node suspects.
      *
      * @param newcomer the member
      * @param effects the sink of the effects
      */
-    public void joined(MemberId newcomer, Effects effects) {
-        if (suspects.size() == 0 || !teaches(newcomer)) {
+    public void asked(MemberId newcomer, Effects effects) {
+        if (!ready()) {
             return;
         }
-        suspects.forEach((fingerprint, suspect) -> {
-            teach(newcomer, fingerprint, suspect.data().open(), CrashNews.ACCUSED, effects);
-            teach(newcomer, fingerprint, suspect.data().crashed(), CrashNews.CONFIRMED, effects);
-        });
+        List<Suspicion> suspicions = new ArrayList<>();
+        suspects.forEach((fingerprint, suspect) -> suspicions.add(new Suspicion(
+                fingerprint,
+                List.copyOf(suspect.data().open()),
+                List.copyOf(suspect.data().crashed()))));
+        effects.emit(new Effect.SendToPeer(newcomer, new PeerMessage.CrashHistory(suspicions)));
+    }
+
+    /**
+     * Takes what another member suspects.
+     *
+     * @param history what it suspects
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void answered(PeerMessage.CrashHistory history, long now, Effects effects) {
+        for (Suspicion suspicion : history.suspicions()) {
+            List<Fingerprint> one = List.of(suspicion.fingerprint());
+            suspicion.open().forEach(at -> heard(notice(one, at, CrashNews.ACCUSED), now, effects));
+            suspicion.crashed().forEach(at -> heard(notice(one, at, CrashNews.CONFIRMED), now, effects));
+        }
+        bootstrap.fire(self, BootstrapEvent.ANSWERED, BootstrapInput.NONE, now, effects);
     }
 
-    private boolean teaches(MemberId newcomer) {
-        List<MemberId> living = new ArrayList<>();
-        directory.members().stream()
-                .filter(member -> !member.status().over())
-                .forEach(member -> living.add(member.id()));
-        int distance = Math.floorMod(living.indexOf(newcomer) - living.indexOf(self), Math.max(1, living.size()));
-        return distance >= 1 && distance <= TEACHERS;
+    private static PeerMessage.CrashNotice notice(List<Fingerprint> fingerprints, String incident, CrashNews news) {
+        return new PeerMessage.CrashNotice(fingerprints, incident, news);
     }
 
-    private static void teach(
-            MemberId to, Fingerprint fingerprint, Set<String> incidents, CrashNews news, Effects effects) {
-        for (String incident : incidents) {
-            PeerMessage notice = new PeerMessage.CrashNotice(List.of(fingerprint), incident, news);
-            effects.emit(new Effect.SendToPeer(to, notice));
-        }
+    /**
+     * Tells whether this node knows what the others suspect, as far as it could learn it.
+     *
+     * @return whether its backend server may be given requests
+     */
+    public boolean ready() {
+        return bootstrap.find(self).is(BootstrapTag.READY);
     }
 
     /**
@@ -276,6 +316,11 @@
      * @param effects the sink of the effects
      */
     public void advance(long now, Effects effects) {
+        if (!begun) {
+            begun = true;
+            bootstrap.fire(self, BootstrapEvent.BEGIN, BootstrapInput.NONE, now, effects);
+        }
+        bootstrap.advance(now, effects);
         suspects.advance(now, effects);
     }
 
@@ -285,6 +330,6 @@
      * @return the monotonic time, in nanoseconds
      */
     public long nextDue() {
-        return suspects.nextDue();
+        return begun ? Math.min(bootstrap.nextDue(), suspects.nextDue()) : 0;
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/limit/RampSettings.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/limit/RampSettings.java
@@ -21,7 +21,7 @@
         long silenceFloorMillis) {
 
     /** A ramp that takes a backend server with ten slots from cold to full in 256 answers. */
-    public static final RampSettings DEFAULT = new RampSettings(2, 32, 4, 20, 5, 1_000);
+    public static final RampSettings DEFAULT = new RampSettings(2, 32, 3, 20, 5, 1_000);
 
     /** Settings that give each backend server its full limit at once. A baseline. */
     public static final RampSettings NONE = new RampSettings(Integer.MAX_VALUE, 1, 1 << 20, 1 << 20, 5, 1_000);
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/limit/ServerEvent.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/limit/ServerEvent.java
@@ -10,7 +10,9 @@
     SHED,
     /** The requests that the backend server has last much longer than usual. */
     SLOWED,
-    /** The backend server takes no connection, or a connection broke. */
+    /** A connection to the backend server broke. */
+    CONNECTION_LOST,
+    /** The backend server takes no connection. */
     CONNECTION_FAILED,
     /** The backend server has not announced itself for too long. */
     SILENT
--- a/verbenamast-core/src/main/java/org/verbenamast/core/message/PeerMessage.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/message/PeerMessage.java
@@ -6,6 +6,7 @@
 import org.verbenamast.core.check.Checks;
 import org.verbenamast.core.gate.crash.CrashNews;
 import org.verbenamast.core.gate.crash.Fingerprint;
+import org.verbenamast.core.gate.crash.Suspicion;
 import org.verbenamast.core.gate.runs.KeptRun;
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.model.RequestId;
@@ -197,12 +198,23 @@
      * Offers a summary of the rows that the sender knows: one number per bucket of row keys.
      *
      * @param buckets the numbers; equal numbers mean equal rows
+     * @param rate how many requests a second the sender's slices get
      */
-    record DigestOffer(List<Long> buckets) implements PeerMessage {
+    record DigestOffer(List<Long> buckets, double rate) implements PeerMessage {
 
-        /** Copies the list. */
+        /** Copies the list and checks the rate. */
         public DigestOffer {
             buckets = List.copyOf(buckets);
+            Checks.finiteNotNegative("rate", rate);
+        }
+
+        /**
+         * Makes an offer of a sender whose slices get no requests.
+         *
+         * @param buckets the numbers; equal numbers mean equal rows
+         */
+        public DigestOffer(List<Long> buckets) {
+            this(buckets, 0);
         }
 
         @Override
@@ -298,4 +310,31 @@
             handler.onCrashNotice(from, this, now);
         }
     }
+
+    /** Asks a member, after the start of a node, what it holds against requests. */
+    record CrashQuery() implements PeerMessage {
+
+        @Override
+        public void deliver(PeerMessageHandler handler, MemberId from, long now) {
+            handler.onCrashQuery(from, this, now);
+        }
+    }
+
+    /**
+     * Answers {@link CrashQuery}.
+     *
+     * @param suspicions all that the sender holds against requests
+     */
+    record CrashHistory(List<Suspicion> suspicions) implements PeerMessage {
+
+        /** Copies the list. */
+        public CrashHistory {
+            suspicions = List.copyOf(suspicions);
+        }
+
+        @Override
+        public void deliver(PeerMessageHandler handler, MemberId from, long now) {
+            handler.onCrashHistory(from, this, now);
+        }
+    }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/DirectoryRouter.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/DirectoryRouter.java
@@ -137,8 +137,8 @@
     }
 
     @Override
-    public void sent(RequestId id, MemberId to) {
-        signals.sent(id, to);
+    public void sent(RequestId id, MemberId to, long now) {
+        signals.sent(id, to, now);
     }
 
     @Override
@@ -146,6 +146,11 @@
         signals.left(id, at);
     }
 
+    @Override
+    public void gaveUp(Try open, long now) {
+        signals.tookMoreThan(open.member(), now - open.sentAt(), now);
+    }
+
     @Override
     public void observed(EntryData data, Try ended, RequestOutcome outcome, long now) {
         if (outcome instanceof RequestOutcome.Answered) {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/EntryAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/EntryAction.java
@@ -14,7 +14,7 @@
         public EntryData apply(EntryData data, EntryInput input, long now, Effects effects) {
             MemberId to = input.router().chosen();
             EntryData sent = data.sentTo(to, now, input.router().hedgeNanos(data));
-            input.router().sent(data.id(), to);
+            input.router().sent(data.id(), to, now);
             long remaining = data.deadline() - now;
             PeerMessage forward = new PeerMessage.Forward(data.id(), sent.attempts(), data.request(), remaining);
             effects.emit(new Effect.SendToPeer(to, forward));
@@ -46,6 +46,7 @@
             for (Try open : data.tries()) {
                 if (open.attempt() != input.attempt()) {
                     input.router().left(data.id(), open.member());
+                    input.router().gaveUp(open, now);
                     PeerMessage cancel = new PeerMessage.Cancel(data.id(), open.attempt());
                     effects.emit(new Effect.SendToPeer(open.member(), cancel));
                 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/MemberSignals.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/MemberSignals.java
@@ -1,10 +1,9 @@
 package org.verbenamast.core.request;
 
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.model.RequestId;
@@ -14,9 +13,10 @@
 public final class MemberSignals {
 
     private static final double DECAY_NANOS = Timing.nanos(1_000);
+    private static final double SHARE = 0.1;
     private static final double UNSEEN_NANOS = Timing.nanos(1);
 
-    private final Map<MemberId, Set<RequestId>> inFlight = new HashMap<>();
+    private final Map<MemberId, Map<RequestId, Long>> inFlight = new HashMap<>();
     private final Map<MemberId, Seen> latencies = new HashMap<>();
     private long turns;
 
@@ -29,7 +29,7 @@
      * @return the number
      */
     public int inFlight(MemberId member) {
-        return inFlight.getOrDefault(member, Set.of()).size();
+        return inFlight.getOrDefault(member, Map.of()).size();
     }
 
     /**
@@ -39,7 +39,7 @@
      * @return the requests' identities
      */
     public List<RequestId> at(MemberId member) {
-        return List.copyOf(inFlight.getOrDefault(member, Set.of()));
+        return List.copyOf(inFlight.getOrDefault(member, Map.of()).keySet());
     }
 
     /**
@@ -47,9 +47,10 @@
      *
      * @param id the request's identity
      * @param to the member
+     * @param now the monotonic time, in nanoseconds
      */
-    public void sent(RequestId id, MemberId to) {
-        inFlight.computeIfAbsent(to, member -> new HashSet<>()).add(id);
+    public void sent(RequestId id, MemberId to, long now) {
+        inFlight.computeIfAbsent(to, member -> new LinkedHashMap<>()).put(id, now);
     }
 
     /**
@@ -66,7 +67,7 @@
     }
 
     /**
-     * Learns how long a member took. A longer time counts at once, a shorter one by and by.
+     * Learns how long a member took. Recent times count most.
      *
      * @param member the member
      * @param nanos the time in nanoseconds
@@ -74,14 +75,24 @@
      */
     public void took(MemberId member, long nanos, long now) {
         Seen before = latencies.get(member);
-        double next = nanos;
-        if (before != null && nanos < before.nanos()) {
-            double kept = Math.exp(-(now - before.at()) / DECAY_NANOS);
-            next = before.nanos() * kept + nanos * (1 - kept);
-        }
+        double next = before == null ? nanos : before.nanos() + (nanos - before.nanos()) * SHARE;
         latencies.put(member, new Seen(next, now));
     }
 
+    /**
+     * Learns that a member took longer than this node waited for it.
+     *
+     * @param member the member
+     * @param nanos the time waited, in nanoseconds
+     * @param now the monotonic time, in nanoseconds
+     */
+    public void tookMoreThan(MemberId member, long nanos, long now) {
+        Seen before = latencies.get(member);
+        if (before == null || before.nanos() < nanos) {
+            latencies.put(member, new Seen(nanos, now));
+        }
+    }
+
     /**
      * Estimates how soon a member would answer one more request.
      *
@@ -91,8 +102,13 @@
      */
     public double cost(MemberId member, long now) {
         Seen seen = latencies.get(member);
-        double latency = seen == null ? UNSEEN_NANOS : seen.nanos() * Math.exp(-(now - seen.at()) / DECAY_NANOS);
-        return (latency + UNSEEN_NANOS) * (inFlight(member) + 1);
+        double latency = seen == null ? 0 : seen.nanos() * Math.exp(-(now - seen.at()) / DECAY_NANOS);
+        return (Math.max(latency, oldestAge(member, now)) + UNSEEN_NANOS) * (inFlight(member) + 1);
+    }
+
+    private long oldestAge(MemberId member, long now) {
+        Map<RequestId, Long> sent = inFlight.get(member);
+        return sent == null ? 0 : now - sent.values().iterator().next();
     }
 
     /**
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/Router.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/Router.java
@@ -53,8 +53,9 @@
      *
      * @param id the request's identity
      * @param to the member
+     * @param now the monotonic time, in nanoseconds
      */
-    void sent(RequestId id, MemberId to);
+    void sent(RequestId id, MemberId to, long now);
 
     /**
      * Notes that a member no longer has a request.
@@ -64,6 +65,14 @@
      */
     void left(RequestId id, MemberId at);
 
+    /**
+     * Learns from a try that is given up before its end is known.
+     *
+     * @param open the try
+     * @param now the monotonic time, in nanoseconds
+     */
+    void gaveUp(Try open, long now);
+
     /**
      * Learns from the end of a try.
      *
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerEncoder.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerEncoder.java
@@ -4,6 +4,7 @@
 import org.verbenamast.core.message.PeerMessageHandler;
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.wire.generated.Cancel;
+import org.verbenamast.wire.generated.CrashQuery;
 import org.verbenamast.wire.generated.DigestOffer;
 import org.verbenamast.wire.generated.Envelope;
 import org.verbenamast.wire.generated.Seal;
@@ -71,7 +72,8 @@
 
     @Override
     public void onDigestOffer(MemberId from, PeerMessage.DigestOffer message, long now) {
-        envelope.setDigestOffer(DigestOffer.newBuilder().addAllBuckets(message.buckets()));
+        envelope.setDigestOffer(
+                DigestOffer.newBuilder().addAllBuckets(message.buckets()).setRate((float) message.rate()));
     }
 
     @Override
@@ -91,6 +93,16 @@
 
     @Override
     public void onCrashNotice(MemberId from, PeerMessage.CrashNotice message, long now) {
-        envelope.setCrashNotice(RunCodec.encode(message));
+        envelope.setCrashNotice(CrashCodec.encode(message));
+    }
+
+    @Override
+    public void onCrashQuery(MemberId from, PeerMessage.CrashQuery message, long now) {
+        envelope.setCrashQuery(CrashQuery.getDefaultInstance());
+    }
+
+    @Override
+    public void onCrashHistory(MemberId from, PeerMessage.CrashHistory message, long now) {
+        envelope.setCrashHistory(CrashCodec.encode(message));
     }
 }
--- a/verbenamast-wire/src/test/java/org/verbenamast/wire/PeerCodecTest.java
+++ b/verbenamast-wire/src/test/java/org/verbenamast/wire/PeerCodecTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import org.verbenamast.core.gate.crash.CrashNews;
 import org.verbenamast.core.gate.crash.Fingerprint;
+import org.verbenamast.core.gate.crash.Suspicion;
 import org.verbenamast.core.gate.runs.KeptRun;
 import org.verbenamast.core.membership.MemberRow;
 import org.verbenamast.core.membership.MemberStatus;
@@ -61,6 +62,9 @@
                 new PeerMessage.BucketVersions(
                         List.of(3), List.of(new RowVersion(memberRow().key(), 4))),
                 new PeerMessage.RowRequest(List.of(chunkRow().key())),
+                new PeerMessage.CrashQuery(),
+                new PeerMessage.CrashHistory(
+                        List.of(new Suspicion(new Fingerprint(5), List.of("open"), List.of("crash", "crash 2")))),
                 new PeerMessage.CrashNotice(List.of(new Fingerprint(-3)), "stock-1~7/start", CrashNews.CONFIRMED),
                 new PeerMessage.RunRecords(
                         new SliceId(STOCK, 5),
