--- a/verbenamast-core/src/main/java/org/verbenamast/core/message/PeerMessageHandler.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/message/PeerMessageHandler.java
@@ -103,4 +103,40 @@
      * @param now the monotonic time, in nanoseconds
      */
     void onRowRequest(MemberId from, PeerMessage.RowRequest message, long now);
+
+    /**
+     * Takes the records of a slice's earlier owner.
+     *
+     * @param from the sender
+     * @param message the message
+     * @param now the monotonic time, in nanoseconds
+     */
+    void onRunRecords(MemberId from, PeerMessage.RunRecords message, long now);
+
+    /**
+     * Takes what is held against requests that may have crashed backend servers.
+     *
+     * @param from the sender
+     * @param message the message
+     * @param now the monotonic time, in nanoseconds
+     */
+    void onCrashNotice(MemberId from, PeerMessage.CrashNotice message, long now);
+
+    /**
+     * Takes the question what this node holds against requests.
+     *
+     * @param from the sender
+     * @param message the message
+     * @param now the monotonic time, in nanoseconds
+     */
+    void onCrashQuery(MemberId from, PeerMessage.CrashQuery message, long now);
+
+    /**
+     * Takes what a member holds against requests.
+     *
+     * @param from the sender
+     * @param message the message
+     * @param now the monotonic time, in nanoseconds
+     */
+    void onCrashHistory(MemberId from, PeerMessage.CrashHistory message, long now);
 }
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerEncoder.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerEncoder.java
@@ -4,6 +4,7 @@
 import org.verbenamast.core.message.PeerMessageHandler;
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.wire.generated.Cancel;
+import org.verbenamast.wire.generated.CrashQuery;
 import org.verbenamast.wire.generated.DigestOffer;
 import org.verbenamast.wire.generated.Envelope;
 import org.verbenamast.wire.generated.Seal;
@@ -32,7 +33,8 @@
 
     @Override
     public void onCancel(MemberId from, PeerMessage.Cancel message, long now) {
-        envelope.setCancel(Cancel.newBuilder().setId(ModelCodec.encode(message.id())));
+        envelope.setCancel(
+                Cancel.newBuilder().setId(ModelCodec.encode(message.id())).setAttempt(message.attempt()));
     }
 
     @Override
@@ -83,4 +85,24 @@
     public void onRowRequest(MemberId from, PeerMessage.RowRequest message, long now) {
         envelope.setRowRequest(RowCodec.encode(message));
     }
+
+    @Override
+    public void onRunRecords(MemberId from, PeerMessage.RunRecords message, long now) {
+        envelope.setRunRecords(RunCodec.encode(message));
+    }
+
+    @Override
+    public void onCrashNotice(MemberId from, PeerMessage.CrashNotice message, long now) {
+        envelope.setCrashNotice(CrashCodec.encode(message));
+    }
+
+    @Override
+    public void onCrashQuery(MemberId from, PeerMessage.CrashQuery message, long now) {
+        envelope.setCrashQuery(CrashQuery.getDefaultInstance());
+    }
+
+    @Override
+    public void onCrashHistory(MemberId from, PeerMessage.CrashHistory message, long now) {
+        envelope.setCrashHistory(CrashCodec.encode(message));
+    }
 }
