--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerCodec.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerCodec.java
@@ -76,7 +76,9 @@
             case FORWARD -> RequestCodec.decode(envelope.getForward());
             case ENDED -> RequestCodec.decode(envelope.getEnded());
             case CANCEL ->
-                new PeerMessage.Cancel(ModelCodec.decode(envelope.getCancel().getId()));
+                new PeerMessage.Cancel(
+                        ModelCodec.decode(envelope.getCancel().getId()),
+                        envelope.getCancel().getAttempt());
             case VOUCH ->
                 new PeerMessage.Vouch(
                         ModelCodec.decode(envelope.getVouch().getVoucher()),
@@ -101,6 +103,10 @@
                         envelope.getDigestOffer().getRate());
             case BUCKET_VERSIONS -> RowCodec.decode(envelope.getBucketVersions());
             case ROW_REQUEST -> RowCodec.decode(envelope.getRowRequest());
+            case RUN_RECORDS -> RunCodec.decode(envelope.getRunRecords());
+            case CRASH_NOTICE -> CrashCodec.decode(envelope.getCrashNotice());
+            case CRASH_QUERY -> new PeerMessage.CrashQuery();
+            case CRASH_HISTORY -> CrashCodec.decode(envelope.getCrashHistory());
             case KIND_NOT_SET -> throw WireException.shouldHaveKnownKind();
         };
     }
