Deployments: each takes a free block of ports, so that two builds on one machine do not mix

Cause: two builds on this machine ran the same tests on the same ports, and nodes of one joined the other's: a run showed nodes that never joined ("false,0,2" for 12 s) and five tests timed out "until stock-1 has its share". Ruled out: the fault proxy; the same deployment came up behind it and failed without it. Change: a deployment without a base port of its own reserves granules of 50 ports from 24000 to 24999, each locked by a listening socket on its last port, and numbers its ports without gaps. Conclusion: the tests with processes no longer depend on who else builds.

--- a/verbenamast-it/src/main/java/org/verbenamast/it/bench/ChartBenchmark.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/bench/ChartBenchmark.java
@@ -23,6 +23,7 @@
 import org.verbenamast.core.ownership.SliceEvent;
 import org.verbenamast.core.ownership.SliceGrant;
 import org.verbenamast.core.ownership.SliceInput;
+import org.verbenamast.core.ownership.SliceMove;
 
 /** Measures a transition that every keyed request takes twice. Target: under a microsecond. */
 @State(Scope.Thread)
@@ -40,7 +41,7 @@
     private Instance<SliceData> openSlice() {
         MemberId owner = new MemberId("stock-1", 1);
         SliceGrant grant = new SliceGrant(owner, 1, GrantOrigin.CLAIMED);
-        SliceData data = new SliceData(new SliceId(new ServiceName("stock"), 1), grant, 0, MemberId.NONE, 0);
+        SliceData data = new SliceData(new SliceId(new ServiceName("stock"), 1), grant, 0, SliceMove.NONE, 0);
         Instance<SliceData> begun = chart.begin(data, 0);
         return chart.fire(begun, SliceEvent.GRANTED, SliceInput.NONE, 0, effect -> {});
     }
--- a/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Deployment.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Deployment.java
@@ -1,6 +1,7 @@
 package org.verbenamast.it.deploy;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -19,13 +20,15 @@
     private static final long STOP_SECONDS = 5;
 
     private final DeploymentPlan plan;
+    private final PortBlock ports;
     private final Wiring wiring;
     private final Path folder;
     private final Programs programs;
     private final Map<String, Process> processes = new HashMap<>();
 
-    private Deployment(DeploymentPlan plan, Wiring wiring, Path root, Path folder) {
+    private Deployment(DeploymentPlan plan, PortBlock ports, Wiring wiring, Path root, Path folder) {
         this.plan = plan;
+        this.ports = ports;
         this.wiring = wiring;
         this.folder = folder;
         this.programs = new Programs(root, folder);
@@ -42,7 +45,9 @@
      */
     public static Deployment start(DeploymentPlan plan, Wiring wiring, Path root) throws IOException {
         Path folder = emptyFolder(root, plan.name());
-        Deployment deployment = new Deployment(plan, wiring, root, folder);
+        PortBlock ports = plan.basePort() == DeploymentPlan.ANY_PORT ? PortBlock.reserve(plan.ports()) : null;
+        DeploymentPlan placed = ports == null ? plan : plan.onPorts(ports.base());
+        Deployment deployment = new Deployment(placed, ports, wiring, root, folder);
         try {
             deployment.startAll();
             return deployment;
@@ -76,7 +81,7 @@
     }
 
     private void startProxy() throws IOException {
-        List<String> args = new ArrayList<>(List.of("proxy", "--control", proxyControl()));
+        List<String> args = new ArrayList<>(List.of("proxy", "--control", plan.proxyControl()));
         for (DeploymentPlan.HostPlan host : plan.hosts()) {
             args.add("--route");
             args.add(host.platformRoute() + "=" + wiring.platform(host) + "=" + plan.platform());
@@ -86,15 +91,6 @@
         run("proxy", programs.standin("proxy", args));
     }
 
-    /**
-     * Returns where the proxy takes commands.
-     *
-     * @return an address
-     */
-    public String proxyControl() {
-        return "127.0.0.1:" + (plan.basePort() + 2);
-    }
-
     /**
      * Starts the node of a host.
      *
@@ -266,5 +262,16 @@
                 Thread.currentThread().interrupt();
             }
         }
+        releasePorts();
+    }
+
+    private void releasePorts() {
+        if (ports != null) {
+            try {
+                ports.close();
+            } catch (IOException e) {
+                throw new UncheckedIOException("a port should always be free to close", e);
+            }
+        }
     }
 }
--- a/verbenamast-it/src/main/java/org/verbenamast/it/deploy/DeploymentPlan.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/deploy/DeploymentPlan.java
@@ -11,18 +11,25 @@
  * A deployment that is to run on one machine.
  *
  * @param name the deployment's name
- * @param basePort the first TCP port to use
+ * @param basePort the first TCP port to use, or {@link #ANY_PORT}
  * @param zones the availability zones
  * @param services the services
  */
 public record DeploymentPlan(String name, int basePort, List<String> zones, List<ServicePlan> services) {
 
-    private static final int CALLER_PORTS = 100;
-    private static final int OPERATOR_PORTS = 200;
-    private static final int PEER_PORTS = 300;
-    private static final int SERVER_PORTS = 400;
-    private static final int PROXY_PORTS = 500;
-    private static final int PLATFORM_PROXY_PORTS = 600;
+    /** The base port of a plan that takes any free block of ports when it starts. */
+    public static final int ANY_PORT = 0;
+
+    private static final int PLATFORM = 0;
+    private static final int PROXY_CONTROL = 1;
+    private static final int FIRST_HOST = 2;
+    private static final int PORTS_PER_HOST = 6;
+    private static final int CALLERS = 0;
+    private static final int OPERATORS = 1;
+    private static final int PEERS = 2;
+    private static final int SERVER = 3;
+    private static final int PEER_PROXY = 4;
+    private static final int PLATFORM_PROXY = 5;
 
     /** Copies the lists. */
     public DeploymentPlan {
@@ -47,7 +54,7 @@
      * @param port the first TCP port to use
      * @return the changed plan
      */
-    public DeploymentPlan at(int port) {
+    public DeploymentPlan onPorts(int port) {
         return new DeploymentPlan(name, port, zones, services);
     }
 
@@ -73,7 +80,24 @@
      * @return an address
      */
     public String platform() {
-        return "127.0.0.1:" + basePort;
+        return at(PLATFORM);
+    }
+
+    /**
+     * Returns where the fault proxy takes commands.
+     *
+     * @return an address
+     */
+    public String proxyControl() {
+        return at(PROXY_CONTROL);
+    }
+
+    private String at(int number) {
+        return "127.0.0.1:" + PortBlock.port(basePort, number);
+    }
+
+    int ports() {
+        return FIRST_HOST + PORTS_PER_HOST * hosts().size();
     }
 
     /**
@@ -87,8 +111,8 @@
      */
     public record HostPlan(DeploymentPlan plan, int index, String name, String zone, ServicePlan service) {
 
-        private String at(int ports) {
-            return "127.0.0.1:" + (plan.basePort() + ports + index);
+        private String at(int kind) {
+            return plan.at(FIRST_HOST + PORTS_PER_HOST * index + kind);
         }
 
         /**
@@ -97,7 +121,7 @@
          * @return an address
          */
         public String callers() {
-            return at(CALLER_PORTS);
+            return at(CALLERS);
         }
 
         /**
@@ -106,7 +130,7 @@
          * @return an address
          */
         public String operators() {
-            return at(OPERATOR_PORTS);
+            return at(OPERATORS);
         }
 
         /**
@@ -115,7 +139,7 @@
          * @return an address
          */
         public String peers() {
-            return at(PEER_PORTS);
+            return at(PEERS);
         }
 
         /**
@@ -124,7 +148,7 @@
          * @return an address
          */
         public String server() {
-            return at(SERVER_PORTS);
+            return at(SERVER);
         }
 
         /**
@@ -133,7 +157,7 @@
          * @return an address
          */
         public String peerProxy() {
-            return at(PROXY_PORTS);
+            return at(PEER_PROXY);
         }
 
         /**
@@ -142,7 +166,7 @@
          * @return an address
          */
         public String platformProxy() {
-            return at(PLATFORM_PROXY_PORTS);
+            return at(PLATFORM_PROXY);
         }
 
         /**
--- a/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Faults.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Faults.java
@@ -151,7 +151,7 @@
     }
 
     private void set(RouteFaults faults) throws IOException {
-        check(Http.post(deployment.proxyControl(), "/admin/faults", faults));
+        check(Http.post(deployment.plan().proxyControl(), "/admin/faults", faults));
     }
 
     private static void check(int status) throws IOException {
--- a/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Plans.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Plans.java
@@ -11,7 +11,6 @@
     /** The service without keys. */
     public static final String FREE = "booking";
 
-    private static final int BASE_PORT = 24_000;
     private static final int SLICES_PER_SERVER = 16;
     private static final int CHUNK_SLICES = 16;
     private static final int SLOTS = 10;
@@ -33,6 +32,6 @@
                 KEYED, true, keyed * SLICES_PER_SERVER, CHUNK_SLICES, true, keyed, SLOTS, SERVICE_MILLIS);
         ServicePlan booking = new ServicePlan(FREE, false, 1, 1, true, free, SLOTS, SERVICE_MILLIS);
         List<ServicePlan> services = free == 0 ? List.of(stock) : List.of(stock, booking);
-        return new DeploymentPlan(name, BASE_PORT, ZONES, services);
+        return new DeploymentPlan(name, DeploymentPlan.ANY_PORT, ZONES, services);
     }
 }
