--- a/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeCore.java
@@ -8,6 +8,7 @@
 import org.verbenamast.core.effect.Effect;
 import org.verbenamast.core.gate.ServeDesk;
 import org.verbenamast.core.gate.ServerReply;
+import org.verbenamast.core.gate.crash.SuspectDesk;
 import org.verbenamast.core.membership.Directory;
 import org.verbenamast.core.membership.MemberDesk;
 import org.verbenamast.core.membership.MemberRow;
@@ -23,6 +24,7 @@
 import org.verbenamast.core.ownership.OwnershipRules;
 import org.verbenamast.core.request.DirectoryRouter;
 import org.verbenamast.core.request.EntryDesk;
+import org.verbenamast.core.request.RoutePolicy;
 import org.verbenamast.core.store.Row;
 import org.verbenamast.core.store.StoreDesk;
 import org.verbenamast.core.store.StoreReply;
@@ -50,6 +52,7 @@
     private final OwnershipDesk ownership;
     private final EntryDesk entries;
     private final ServeDesk serving;
+    private final SuspectDesk suspects;
     private final Deque<NodeInput> toSelf = new ArrayDeque<>();
     private List<Effect> effects = new ArrayList<>();
 
@@ -73,8 +76,10 @@
                 this,
                 decisions);
         this.spread = new SpreadDesk(settings, directory, ownership::rate);
-        this.entries = new EntryDesk(settings, new DirectoryRouter(settings, directory), decisions);
-        this.serving = new ServeDesk(settings, member, ownership, decisions);
+        this.suspects = new SuspectDesk(settings.self(), directory, decisions);
+        DirectoryRouter router = new DirectoryRouter(settings, directory, suspects, RoutePolicy.DEFAULT, decisions);
+        this.entries = new EntryDesk(settings, router, decisions);
+        this.serving = new ServeDesk(settings, member, ownership, suspects, decisions);
     }
 
     /**
@@ -102,6 +107,7 @@
         ownership.advance(now, this::emit);
         entries.advance(now, this::emit);
         serving.advance(now, this::emit);
+        suspects.advance(now, this::emit);
         if (member.is(MemberTag.STOPPING) && ownership.owned() == 0 && serving.open() == 0 && entries.open() == 0) {
             member.emptied(now, this::emit);
         }
@@ -122,7 +128,7 @@
      */
     public long nextDue() {
         long due = Math.min(store.nextDue(), Math.min(member.nextDue(), spread.nextDue()));
-        due = Math.min(due, reading.nextDue());
+        due = Math.min(due, Math.min(reading.nextDue(), suspects.nextDue()));
         return Math.min(due, Math.min(ownership.nextDue(), Math.min(entries.nextDue(), serving.nextDue())));
     }
 
@@ -198,17 +204,24 @@
     }
 
     private boolean learn(Row row, long now) {
+        boolean newcomer = row.value() instanceof MemberRow member
+                && !member.status().over()
+                && directory.member(member.id()) == null;
         if (!directory.learn(row)) {
             return false;
         }
+        if (newcomer) {
+            suspects.learnt(((MemberRow) row.value()).id(), now, this::emit);
+        }
         member.learnt(row, now, this::emit);
         ownership.learnt(row, now, this::emit);
+        serving.runs().learnt(row, now, this::emit);
         return true;
     }
 
     void onNotSent(MemberId to, PeerMessage message, long now) {
         if (message instanceof PeerMessage.Forward forward) {
-            entries.notSent(forward.id(), now, this::emit);
+            entries.notSent(to, forward, now, this::emit);
         }
     }
 
@@ -230,6 +243,7 @@
 
     void onServerAnnounced(ServerAnnouncement announcement, long now) {
         member.announced(announcement, now, this::emit);
+        serving.announced(announcement, now, this::emit);
     }
 
     void onStoreReplied(long call, StoreReply reply, long now) {
@@ -247,12 +261,12 @@
 
     @Override
     public void onEnded(MemberId from, PeerMessage.Ended message, long now) {
-        entries.ended(from, message.id(), message.outcome(), now, this::emit);
+        entries.ended(from, message, now, this::emit);
     }
 
     @Override
     public void onCancel(MemberId from, PeerMessage.Cancel message, long now) {
-        serving.cancelled(message.id(), now, this::emit);
+        serving.cancelled(message.id(), message.attempt(), now, this::emit);
     }
 
     @Override
@@ -301,6 +315,26 @@
         spread.compared(from, message, now, this::emit);
     }
 
+    @Override
+    public void onCrashNotice(MemberId from, PeerMessage.CrashNotice message, long now) {
+        suspects.heard(message, now, this::emit);
+    }
+
+    @Override
+    public void onCrashQuery(MemberId from, PeerMessage.CrashQuery message, long now) {
+        suspects.asked(from, this::emit);
+    }
+
+    @Override
+    public void onCrashHistory(MemberId from, PeerMessage.CrashHistory message, long now) {
+        suspects.answered(message, now, this::emit);
+    }
+
+    @Override
+    public void onRunRecords(MemberId from, PeerMessage.RunRecords message, long now) {
+        serving.runs().recordsCame(message, now, this::emit);
+    }
+
     @Override
     public void onRowRequest(MemberId from, PeerMessage.RowRequest message, long now) {
         spread.requested(from, message, this::emit);
