Leases: a majority of lease peers vouches, seals and ends an incarnation

Cause: whoever had a row served for ever, so that no key could be taken over after a loss. Ruled out: renewing each row in the store (over a thousand writes a second at 1,700 nodes, and an outage stops all service) and a coordinator's lease (an outage ends everyone's). Change: charts lease, voucher and takeover with their desks; NodeCore asks the lease before it serves and treats a late loop as a pause. The clocks of SpreadDesk and OwnershipDesk began at 0, so that a node with a negative monotonic clock never read the tables; they begin before all times now.

--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/lease/HolderDesk.java
@@ -0,0 +1,240 @@
+package org.verbenamast.core.lease;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+
+import org.verbenamast.core.chart.Chart;
+import org.verbenamast.core.chart.Instance;
+import org.verbenamast.core.chart.Population;
+import org.verbenamast.core.chart.TransitionListener;
+import org.verbenamast.core.chart.Vocabulary;
+import org.verbenamast.core.chart.file.ChartReader;
+import org.verbenamast.core.effect.Effect;
+import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.membership.Directory;
+import org.verbenamast.core.membership.MemberRow;
+import org.verbenamast.core.message.PeerMessage;
+import org.verbenamast.core.model.MemberId;
+import org.verbenamast.core.node.RowSink;
+import org.verbenamast.core.ownership.Lease;
+import org.verbenamast.core.store.Row;
+import org.verbenamast.core.store.RowWrite;
+import org.verbenamast.core.store.StoreDesk;
+import org.verbenamast.core.store.StoreReply;
+import org.verbenamast.core.store.StoreRequest;
+
+/** This node's own lease: it asks the lease peers to vouch and replaces those that are lost. */
+public final class HolderDesk implements Lease {
+
+    /** The names that the chart file may use. */
+    public static final Vocabulary<HolderEvent, HolderGuard, HolderAction, HolderTimer, HolderTag> VOCABULARY =
+            new Vocabulary<>(
+                    HolderEvent.class, HolderGuard.class, HolderAction.class, HolderTimer.class, HolderTag.class);
+
+    private final MemberId self;
+    private final LeaseTerms terms;
+    private final Directory directory;
+    private final StoreDesk store;
+    private final RowSink sink;
+    private final PeerProbe probe;
+    private final Population<MemberId, HolderEvent, HolderData, HolderInput> lease;
+    private boolean calling;
+    private boolean over;
+    private long operations;
+
+    /**
+     * Makes the desk of a node that has no row yet.
+     *
+     * @param self this incarnation
+     * @param terms the durations of leases
+     * @param directory the rows that the node knows
+     * @param store the calls to the table service
+     * @param sink takes the rows that this desk writes or reads
+     * @param listener is told of each transition
+     */
+    public HolderDesk(
+            MemberId self,
+            LeaseTerms terms,
+            Directory directory,
+            StoreDesk store,
+            RowSink sink,
+            TransitionListener listener) {
+        this.self = Objects.requireNonNull(self, "self");
+        this.terms = Objects.requireNonNull(terms, "terms");
+        this.directory = Objects.requireNonNull(directory, "directory");
+        this.store = Objects.requireNonNull(store, "store");
+        this.sink = Objects.requireNonNull(sink, "sink");
+        this.probe = new PeerProbe(terms);
+        Chart<HolderEvent, HolderData, HolderInput> chart = ChartReader.bundled("lease", VOCABULARY);
+        this.lease = new Population<>(chart, event -> HolderInput.NONE, listener);
+    }
+
+    @Override
+    public boolean holds(long now) {
+        Instance<HolderData> held = lease.find(self);
+        return held != null && held.is(HolderTag.HOLDS) && held.data().heldUntil() > now;
+    }
+
+    /**
+     * Tells whether this node may vouch for others.
+     *
+     * @param now the monotonic time, in nanoseconds
+     * @return whether its incarnation can't have ended long ago
+     */
+    public boolean mayVouch(long now) {
+        Instance<HolderData> held = lease.find(self);
+        return held != null && held.data().standingUntil() > now;
+    }
+
+    /**
+     * Takes the node's own row where the directory has learnt a later version.
+     *
+     * @param row the row
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void learnt(Row row, long now, Effects effects) {
+        MemberRow member = (MemberRow) row.value();
+        if (member.status().over()) {
+            ended(now, effects);
+            return;
+        }
+        if (!over && lease.find(self) == null) {
+            lease.begin(self, HolderData.begun(self, this, now), now);
+        }
+        fire(HolderEvent.ROW_LEARNT, HolderInput.row(row.version(), member.leasePeers()), now, effects);
+    }
+
+    /**
+     * Ends the lease for good.
+     *
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void ended(long now, Effects effects) {
+        over = true;
+        fire(HolderEvent.ENDED, HolderInput.NONE, now, effects);
+    }
+
+    /**
+     * Takes the answer of a lease peer.
+     *
+     * @param peer the lease peer
+     * @param reply the answer
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void replied(MemberId peer, PeerMessage.VouchReply reply, long now, Effects effects) {
+        if (reply.granted() && reply.sentAt() <= now) {
+            probe.heard(peer, now);
+            fire(HolderEvent.VOUCHED, HolderInput.vouched(peer, reply.sentAt()), now, effects);
+        }
+    }
+
+    /**
+     * Treats the lease as lapsed until it is vouched for again, since the node did not run for a while.
+     *
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void paused(long now, Effects effects) {
+        fire(HolderEvent.PAUSED, HolderInput.NONE, now, effects);
+    }
+
+    /**
+     * Fires the timers that are due.
+     *
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void advance(long now, Effects effects) {
+        lease.advance(now, effects);
+    }
+
+    /**
+     * Returns when this desk has something to do next.
+     *
+     * @return the monotonic time, in nanoseconds
+     */
+    public long nextDue() {
+        return lease.nextDue();
+    }
+
+    LeaseTerms terms() {
+        return terms;
+    }
+
+    void forgetSilence() {
+        probe.forget();
+    }
+
+    HolderData ask(HolderData data, long now, Effects effects) {
+        MemberRow row = directory.member(self);
+        List<MemberId> wanted = new PeerChoice(row, probe::usable).from(directory.members());
+        Set<MemberId> asked = new LinkedHashSet<>(wanted);
+        data.lists().inForce().forEach(asked::addAll);
+        asked.remove(self);
+        probe.asked(asked, now);
+        for (MemberId peer : asked) {
+            effects.emit(new Effect.SendToPeer(peer, new PeerMessage.Vouch(peer, now)));
+        }
+        return call(data, row, wanted, now, effects).withNextAsk(now + terms.askEvery());
+    }
+
+    private HolderData call(HolderData data, MemberRow row, List<MemberId> wanted, long now, Effects effects) {
+        if (calling) {
+            return data;
+        }
+        boolean ready = wanted.stream().allMatch(peer -> data.vouchedBy(peer, now));
+        boolean change = ready && !wanted.equals(data.lists().committed());
+        if (change || data.lists().inForce().contains(List.<MemberId>of())) {
+            List<MemberId> list = change ? wanted : data.lists().committed();
+            write(row, list, now, effects);
+            return data.withLists(data.lists().proposing(list));
+        }
+        if (data.standingUntil() <= now) {
+            read(now, effects);
+        }
+        return data;
+    }
+
+    private void write(MemberRow row, List<MemberId> peers, long now, Effects effects) {
+        MemberRow next = row.withLeasePeers(peers, self + "/lease/" + ++operations);
+        RowWrite write = new RowWrite(MemberRow.keyOf(self), directory.version(MemberRow.keyOf(self)), next);
+        submit(new StoreRequest.Commit(List.of(write)), now, effects);
+    }
+
+    private void read(long now, Effects effects) {
+        submit(new StoreRequest.ReadRow(MemberRow.keyOf(self)), now, effects);
+    }
+
+    private void submit(StoreRequest request, long sentAt, Effects effects) {
+        calling = true;
+        store.submit(request, sentAt, effects, (reply, now, out) -> {
+            calling = false;
+            answered(reply, sentAt, now, out);
+        });
+    }
+
+    private void answered(StoreReply reply, long sentAt, long now, Effects effects) {
+        if (reply instanceof StoreReply.Committed committed) {
+            committed.rows().forEach(row -> sink.wrote(row, now, effects));
+            fire(HolderEvent.ROW_WRITTEN, HolderInput.shown(sentAt), now, effects);
+        } else if (reply instanceof StoreReply.Conflicted conflicted) {
+            conflicted.rows().forEach(row -> shown(row, sentAt, now, effects));
+        } else if (reply instanceof StoreReply.RowsRead read) {
+            read.rows().forEach(row -> shown(row, sentAt, now, effects));
+        }
+    }
+
+    private void shown(Row row, long sentAt, long now, Effects effects) {
+        sink.read(row, now, effects);
+        fire(HolderEvent.ROW_SHOWN, HolderInput.shown(sentAt), now, effects);
+    }
+
+    private void fire(HolderEvent event, HolderInput input, long now, Effects effects) {
+        lease.fire(self, event, input, now, effects);
+    }
+}
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/lease/TakeoverDesk.java
@@ -0,0 +1,161 @@
+package org.verbenamast.core.lease;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+import org.verbenamast.core.chart.Chart;
+import org.verbenamast.core.chart.NoTag;
+import org.verbenamast.core.chart.Population;
+import org.verbenamast.core.chart.TransitionListener;
+import org.verbenamast.core.chart.Vocabulary;
+import org.verbenamast.core.chart.file.ChartReader;
+import org.verbenamast.core.effect.Effect;
+import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.membership.Directory;
+import org.verbenamast.core.membership.MemberRow;
+import org.verbenamast.core.membership.MemberStatus;
+import org.verbenamast.core.message.PeerMessage;
+import org.verbenamast.core.model.MemberId;
+import org.verbenamast.core.node.RowSink;
+import org.verbenamast.core.store.Row;
+import org.verbenamast.core.store.RowKey;
+import org.verbenamast.core.store.RowWrite;
+import org.verbenamast.core.store.StoreDesk;
+import org.verbenamast.core.store.StoreReply;
+import org.verbenamast.core.store.StoreRequest;
+
+/** The take-overs that this node has under way. */
+final class TakeoverDesk {
+
+    static final Vocabulary<TakeoverEvent, TakeoverGuard, TakeoverAction, TakeoverTimer, NoTag> VOCABULARY =
+            new Vocabulary<>(
+                    TakeoverEvent.class, TakeoverGuard.class, TakeoverAction.class, TakeoverTimer.class, NoTag.class);
+
+    private final MemberId self;
+    private final LeaseTerms terms;
+    private final Directory directory;
+    private final StoreDesk store;
+    private final RowSink sink;
+    private final Orphans orphans;
+    private final Population<MemberId, TakeoverEvent, TakeoverData, TakeoverInput> takeovers;
+    private long operations;
+
+    TakeoverDesk(
+            MemberId self,
+            LeaseTerms terms,
+            Directory directory,
+            StoreDesk store,
+            RowSink sink,
+            TransitionListener listener) {
+        this.self = Objects.requireNonNull(self, "self");
+        this.terms = Objects.requireNonNull(terms, "terms");
+        this.directory = Objects.requireNonNull(directory, "directory");
+        this.store = Objects.requireNonNull(store, "store");
+        this.sink = Objects.requireNonNull(sink, "sink");
+        this.orphans = new Orphans(self, directory);
+        Chart<TakeoverEvent, TakeoverData, TakeoverInput> chart = ChartReader.bundled("takeover", VOCABULARY);
+        this.takeovers = new Population<>(chart, event -> TakeoverInput.NONE, listener);
+    }
+
+    void begin(MemberId holder, long now, Effects effects) {
+        if (takeovers.find(holder) == null && !directory.ended(holder) && !holder.equals(self)) {
+            takeovers.begin(holder, new TakeoverData(holder, 0, List.of(), now, Map.of(), this), now);
+            takeovers.fire(holder, TakeoverEvent.BEGUN, TakeoverInput.NONE, now, effects);
+        }
+    }
+
+    /** Begins to take over from the holders that are left to this node although it is no lease peer of them. */
+    void beginOrphans(long now, Effects effects) {
+        orphans.mine().forEach(holder -> begin(holder, now, effects));
+    }
+
+    void heard(MemberId holder, long now, Effects effects) {
+        takeovers.fire(holder, TakeoverEvent.HOLDER_HEARD, TakeoverInput.NONE, now, effects);
+    }
+
+    void ended(MemberId holder, long now, Effects effects) {
+        takeovers.fire(holder, TakeoverEvent.HOLDER_ENDED, TakeoverInput.NONE, now, effects);
+    }
+
+    void sealAnswered(MemberId peer, PeerMessage.SealReply reply, long now, Effects effects) {
+        if (reply.sealed()) {
+            long overFrom = now + ClockDrift.lengthened(Math.max(0, reply.remainingNanos()));
+            TakeoverInput input = TakeoverInput.sealed(peer, overFrom);
+            takeovers.fire(reply.holder(), TakeoverEvent.SEAL_ANSWERED, input, now, effects);
+        }
+    }
+
+    void advance(long now, Effects effects) {
+        takeovers.advance(now, effects);
+    }
+
+    long nextDue() {
+        return takeovers.nextDue();
+    }
+
+    LeaseTerms terms() {
+        return terms;
+    }
+
+    boolean mayEnd(MemberId holder, List<MemberId> peers) {
+        boolean alive = directory.member(self) != null && !directory.ended(self);
+        return alive && (peers.contains(self) || orphans.isMine(holder));
+    }
+
+    void read(TakeoverData data, long now, Effects effects) {
+        MemberId holder = data.holder();
+        StoreRequest request = new StoreRequest.ReadRow(MemberRow.keyOf(holder));
+        store.submit(request, now, effects, (reply, at, out) -> readDone(holder, reply, at, out));
+    }
+
+    private void readDone(MemberId holder, StoreReply reply, long now, Effects effects) {
+        if (!(reply instanceof StoreReply.RowsRead read) || read.rows().isEmpty()) {
+            takeovers.fire(holder, TakeoverEvent.NOT_DONE, TakeoverInput.NONE, now, effects);
+            return;
+        }
+        Row row = read.rows().get(0);
+        sink.read(row, now, effects);
+        MemberRow member = (MemberRow) row.value();
+        List<MemberId> peers = orphans.isPredecessor(member) ? List.of() : member.leasePeers();
+        TakeoverInput input = TakeoverInput.row(row.version(), peers);
+        takeovers.fire(holder, TakeoverEvent.ROW_READ, input, now, effects);
+    }
+
+    TakeoverData askSeals(TakeoverData data, long now, Effects effects) {
+        TakeoverData next = data;
+        for (MemberId peer : data.leasePeers()) {
+            if (directory.ended(peer)) {
+                next = next.withSeal(peer, now + terms.afterEnd());
+            } else if (!peer.equals(data.holder()) && !data.overFrom().containsKey(peer)) {
+                effects.emit(new Effect.SendToPeer(peer, new PeerMessage.Seal(peer, data.holder())));
+            }
+        }
+        return next;
+    }
+
+    /**
+     * Ends the holder in one transaction with a write of this node's own row, so that of two members that end each
+     * other only one succeeds, and one that has ended ends nobody.
+     */
+    void end(TakeoverData data, long now, Effects effects) {
+        MemberId holder = data.holder();
+        String operation = self + "/takeover/" + ++operations;
+        MemberRow ended = directory.member(holder).withStatus(MemberStatus.ENDED, operation);
+        MemberRow own = directory.member(self);
+        RowWrite endHolder = new RowWrite(MemberRow.keyOf(holder), data.version(), ended);
+        RowKey ownKey = MemberRow.keyOf(self);
+        RowWrite confirmOwn = new RowWrite(ownKey, directory.version(ownKey), own.withStatus(own.status(), operation));
+        StoreRequest commit = new StoreRequest.Commit(List.of(endHolder, confirmOwn));
+        store.submit(commit, now, effects, (reply, at, out) -> endDone(holder, reply, at, out));
+    }
+
+    private void endDone(MemberId holder, StoreReply reply, long now, Effects effects) {
+        if (reply instanceof StoreReply.Committed committed) {
+            committed.rows().forEach(row -> sink.wrote(row, now, effects));
+        } else if (reply instanceof StoreReply.Conflicted conflicted) {
+            conflicted.rows().forEach(row -> sink.read(row, now, effects));
+        }
+        takeovers.fire(holder, TakeoverEvent.NOT_DONE, TakeoverInput.NONE, now, effects);
+    }
+}
--- a/verbenamast-core/src/main/java/org/verbenamast/core/membership/SpreadDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/membership/SpreadDesk.java
@@ -24,7 +24,7 @@
     private final Directory directory;
     private final StoreDesk store;
     private final RowSink sink;
-    private long nextScan;
+    private long nextScan = Long.MIN_VALUE;
 
     /**
      * Makes a desk.
--- a/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeCore.java
@@ -8,6 +8,7 @@
 import org.verbenamast.core.effect.Effect;
 import org.verbenamast.core.gate.ServeDesk;
 import org.verbenamast.core.gate.ServerReply;
+import org.verbenamast.core.lease.LeaseDesk;
 import org.verbenamast.core.membership.Directory;
 import org.verbenamast.core.membership.MemberDesk;
 import org.verbenamast.core.membership.MemberTag;
@@ -43,11 +44,13 @@
     private final StoreDesk store;
     private final MemberDesk member;
     private final SpreadDesk spread;
+    private final LeaseDesk lease;
     private final OwnershipDesk ownership;
     private final EntryDesk entries;
     private final ServeDesk serving;
     private final Deque<NodeInput> toSelf = new ArrayDeque<>();
     private List<Effect> effects = new ArrayList<>();
+    private long expectedBy = Long.MAX_VALUE;
 
     /**
      * Makes the decisions of a node that has just started.
@@ -60,8 +63,8 @@
         this.store = new StoreDesk(Timing.nanos(settings.timing().storeTimeoutMillis()), decisions);
         this.member = new MemberDesk(settings, directory, store, this, decisions);
         this.spread = new SpreadDesk(settings, directory, store, this);
-        this.ownership =
-                new OwnershipDesk(settings, directory, store, now -> member.is(MemberTag.JOINED), this, decisions);
+        this.lease = new LeaseDesk(settings, directory, store, this, decisions);
+        this.ownership = new OwnershipDesk(settings, directory, store, this::mayServe, this, decisions);
         this.entries = new EntryDesk(settings, new DirectoryRouter(settings, directory), decisions);
         this.serving = new ServeDesk(settings, member, ownership, decisions);
     }
@@ -75,14 +78,26 @@
      */
     public List<Effect> handle(NodeInput input, long now) {
         effects = new ArrayList<>();
+        notePause(now);
         input.deliver(this, now);
         advance(now);
         while (!toSelf.isEmpty()) {
             toSelf.poll().deliver(this, now);
         }
+        expectedBy = nextDue();
         return effects;
     }
 
+    private void notePause(long now) {
+        if (expectedBy < now - Timing.nanos(settings.timing().pauseMillis())) {
+            lease.paused(now, this::emit);
+        }
+    }
+
+    private boolean mayServe(long now) {
+        return member.is(MemberTag.JOINED) && lease.holds(now);
+    }
+
     private void advance(long now) {
         store.advance(now, this::emit);
         member.advance(now, this::emit);
@@ -91,8 +106,10 @@
         entries.advance(now, this::emit);
         serving.advance(now, this::emit);
         if (member.is(MemberTag.STOPPING) && ownership.owned() == 0 && serving.open() == 0 && entries.open() == 0) {
+            lease.leave(now, this::emit);
             member.emptied(now, this::emit);
         }
+        lease.advance(now, this::emit);
     }
 
     private void emit(Effect effect) {
@@ -109,7 +126,7 @@
      * @return the monotonic time, in nanoseconds
      */
     public long nextDue() {
-        long due = Math.min(store.nextDue(), Math.min(member.nextDue(), spread.nextDue()));
+        long due = Math.min(Math.min(store.nextDue(), lease.nextDue()), Math.min(member.nextDue(), spread.nextDue()));
         return Math.min(due, Math.min(ownership.nextDue(), Math.min(entries.nextDue(), serving.nextDue())));
     }
 
@@ -140,6 +157,15 @@
         return member;
     }
 
+    /**
+     * Returns the node's lease, its promises and its take-overs.
+     *
+     * @return the desk that keeps them
+     */
+    public LeaseDesk lease() {
+        return lease;
+    }
+
     /**
      * Returns the slices that the node owns.
      *
@@ -181,6 +207,7 @@
     private void learn(Row row, long now) {
         if (directory.learn(row)) {
             member.learnt(row, now, this::emit);
+            lease.learnt(row, now, this::emit);
             ownership.learnt(row, now, this::emit);
         }
     }
@@ -236,22 +263,22 @@
 
     @Override
     public void onVouch(MemberId from, PeerMessage.Vouch message, long now) {
-        // Leases are not decided here yet.
+        lease.vouchAsked(from, message, now, this::emit);
     }
 
     @Override
     public void onVouchReply(MemberId from, PeerMessage.VouchReply message, long now) {
-        // Leases are not decided here yet.
+        lease.vouchReplied(from, message, now, this::emit);
     }
 
     @Override
     public void onSeal(MemberId from, PeerMessage.Seal message, long now) {
-        // Leases are not decided here yet.
+        lease.sealAsked(from, message, now, this::emit);
     }
 
     @Override
     public void onSealReply(MemberId from, PeerMessage.SealReply message, long now) {
-        // Leases are not decided here yet.
+        lease.sealReplied(from, message, now, this::emit);
     }
 
     @Override
--- a/verbenamast-core/src/main/java/org/verbenamast/core/node/Timing.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/node/Timing.java
@@ -28,6 +28,8 @@
     /** Durations that serve a key again within four seconds of a loss. */
     public static final Timing DEFAULT = new Timing(1_500, 400, 500, 100, 1_000, 10, 10_000);
 
+    private static final long PAUSES_PER_LEASE = 3;
+
     /** Checks that each duration is positive. */
     public Timing {
         Checks.positive("leaseMillis", leaseMillis);
@@ -39,6 +41,15 @@
         Checks.positive("longestRequestMillis", longestRequestMillis);
     }
 
+    /**
+     * Returns by how much a timer may be late before the node takes itself for paused.
+     *
+     * @return a third of a lease, in milliseconds
+     */
+    public long pauseMillis() {
+        return leaseMillis / PAUSES_PER_LEASE;
+    }
+
     /**
      * Converts milliseconds.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/ownership/OwnershipDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/ownership/OwnershipDesk.java
@@ -46,7 +46,7 @@
     private final Population<SliceId, SliceEvent, SliceData, SliceInput> slices;
     private final Set<Integer> busyChunks = new HashSet<>();
     private long operations;
-    private long nextReview;
+    private long nextReview = Long.MIN_VALUE;
 
     /**
      * Makes a desk that owns nothing.
--- /dev/null
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/fleet/Invariant.java
@@ -0,0 +1,13 @@
+package org.verbenamast.core.fleet;
+
+/** A check that fails the schedule. */
+final class Invariant {
+
+    private Invariant() {}
+
+    static void holds(boolean condition, String what) {
+        if (!condition) {
+            throw new AssertionError("broken invariant: " + what);
+        }
+    }
+}
--- /dev/null
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/fleet/VirtualFleet.java
@@ -0,0 +1,267 @@
+package org.verbenamast.core.fleet;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import org.verbenamast.core.effect.Effect;
+import org.verbenamast.core.membership.MemberRow;
+import org.verbenamast.core.model.MemberId;
+import org.verbenamast.core.model.SliceId;
+import org.verbenamast.core.node.NodeInput;
+import org.verbenamast.core.ownership.ChunkRow;
+import org.verbenamast.core.ownership.SliceGrant;
+import org.verbenamast.core.store.Row;
+import org.verbenamast.core.store.StoreFailure;
+import org.verbenamast.core.store.StoreReply;
+import org.verbenamast.core.trace.Decision;
+
+/** Nodes, a network and a table service on virtual time, with the invariants checked after every step. */
+final class VirtualFleet {
+
+    private static final int TRACE_LINES = 60;
+    private static final long MAX_STEPS = 200_000;
+    private static final int DECISIONS = 16;
+    private static final Set<String> ROUTINE = Set.of("ASK_DUE", "VOUCHED", "VOUCH_ASKED", "ROW_LEARNT");
+    private static final long RESTART_MILLIS = 800;
+
+    final SplittableRandom random;
+    final VirtualLinks links;
+    final List<VirtualNode> nodes = new ArrayList<>();
+    private final VirtualStore store = new VirtualStore();
+    private final PriorityQueue<Step> steps = new PriorityQueue<>();
+    private final Deque<String> trace = new ArrayDeque<>();
+    private final int slices;
+    private long now;
+    private long sequence;
+    private long incarnations;
+    private long taken;
+
+    VirtualFleet(long seed, int size, int slices) {
+        this.random = new SplittableRandom(seed);
+        this.links = new VirtualLinks(random);
+        this.slices = slices;
+        for (int place = 0; place < size; place++) {
+            nodes.add(null);
+            start(place);
+        }
+    }
+
+    private record Step(long at, long order, Runnable work) implements Comparable<Step> {
+        @Override
+        public int compareTo(Step other) {
+            int byTime = Long.compare(at, other.at);
+            return byTime != 0 ? byTime : Long.compare(order, other.order);
+        }
+    }
+
+    long now() {
+        return now;
+    }
+
+    void start(int place) {
+        long drift = random.nextInt(3) * 10L - 10;
+        long clockStart = random.nextLong(1L << 50) - (1L << 49);
+        VirtualNode node = new VirtualNode(place, Fleets.settings(place, ++incarnations, slices), clockStart, drift);
+        nodes.set(place, node);
+        note("start " + node.id + " drift " + drift);
+        feed(node, node.announcement());
+    }
+
+    void kill(VirtualNode node) {
+        if (!node.dead()) {
+            note("kill " + node.id);
+            node.kill();
+            at(now + VirtualNode.millis(RESTART_MILLIS), () -> start(node.place));
+        }
+    }
+
+    void pause(VirtualNode node, long millis) {
+        note("pause " + node.id + " for " + millis + " ms");
+        node.pauseUntil(now + VirtualNode.millis(millis));
+        at(node.pausedUntil(), () -> feed(node, new NodeInput.Tick()));
+    }
+
+    void at(long when, Runnable work) {
+        steps.add(new Step(when, ++sequence, work));
+    }
+
+    void note(String line) {
+        if (trace.size() == TRACE_LINES) {
+            trace.removeFirst();
+        }
+        trace.addLast(now / 1_000_000 + " ms " + line);
+    }
+
+    String trace() {
+        StringBuilder text = new StringBuilder(String.join("\n", trace));
+        for (VirtualNode node : nodes) {
+            text.append("\n").append(node).append(node.dead() ? " dead" : " knows ");
+            node.core.directory().members().forEach(row -> text.append(row.id())
+                    .append(row.status())
+                    .append(row.leasePeers()));
+            List<Decision> telling = node.core.decisions().find(VirtualFleet::tells);
+            telling.stream().skip(Math.max(0, telling.size() - DECISIONS)).forEach(one -> text.append("\n  ")
+                    .append(line(node, one)));
+        }
+        return text.toString();
+    }
+
+    private static boolean tells(Decision decision) {
+        return !ROUTINE.contains(decision.event()) && !decision.chart().equals("store-call");
+    }
+
+    private static String line(VirtualNode node, Decision one) {
+        return node.trueTime(one.at()) / 1_000_000 + " ms " + one.chart() + " " + one.subject() + " " + one.from() + " "
+                + one.event() + " " + one.guard() + " " + one.to();
+    }
+
+    void runUntil(long end) {
+        while (!steps.isEmpty() && steps.peek().at() <= end) {
+            step();
+        }
+        now = end;
+    }
+
+    private void step() {
+        Step step = steps.poll();
+        Invariant.holds(++taken < MAX_STEPS, "no endless work");
+        now = step.at();
+        step.work().run();
+        checkOwners();
+    }
+
+    /** Runs until each slice is served by some node. */
+    boolean runUntilServed(long end) {
+        while (!steps.isEmpty() && steps.peek().at() <= end) {
+            step();
+            if (allServed()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private void feed(VirtualNode node, NodeInput input) {
+        if (node.dead()) {
+            return;
+        }
+        for (Effect effect : node.handle(input, now)) {
+            run(node, effect);
+        }
+        if (now < node.pausedUntil()) {
+            return;
+        }
+        long due = Math.max(now + 1, node.trueTime(node.core.nextDue()));
+        if (due != node.wakeUp && due != Long.MAX_VALUE) {
+            node.wakeUp = due;
+            at(due, () -> wake(node, due));
+        }
+    }
+
+    private void wake(VirtualNode node, long due) {
+        if (node.wakeUp == due) {
+            node.wakeUp = -1;
+            feed(node, new NodeInput.Tick());
+        }
+    }
+
+    private void run(VirtualNode node, Effect effect) {
+        if (effect instanceof Effect.SendToPeer send) {
+            send(node, send);
+        } else if (effect instanceof Effect.CallStore call) {
+            call(node, call);
+        } else if (effect instanceof Effect.Stopped) {
+            kill(node);
+        }
+    }
+
+    private void send(VirtualNode from, Effect.SendToPeer send) {
+        VirtualNode to = find(send.to());
+        if (to == null) {
+            return;
+        }
+        NodeInput input = new NodeInput.PeerReceived(from.id, send.message());
+        for (long delay : links.delays(from.place, to.place)) {
+            at(now + delay, () -> feed(to, input));
+        }
+    }
+
+    private VirtualNode find(MemberId id) {
+        for (VirtualNode node : nodes) {
+            if (node != null && node.id.equals(id)) {
+                return node;
+            }
+        }
+        return null;
+    }
+
+    private void call(VirtualNode node, Effect.CallStore call) {
+        if (links.storeRefuses()) {
+            reply(node, call, new StoreReply.Failed(StoreFailure.UNAVAILABLE));
+            return;
+        }
+        for (long delay : links.requestDelays(node.place)) {
+            at(now + delay, () -> reply(node, call, store.answer(call.request())));
+        }
+    }
+
+    private void reply(VirtualNode node, Effect.CallStore call, StoreReply reply) {
+        for (long delay : links.replyDelays(node.place)) {
+            at(now + delay, () -> feed(node, new NodeInput.StoreReplied(call.call(), reply)));
+        }
+    }
+
+    private boolean admits(VirtualNode node, SliceId slice) {
+        return node != null && !node.dead() && node.core.ownership().admits(slice, node.clock(now));
+    }
+
+    private void checkOwners() {
+        Row row = store.row(ChunkRow.keyOf(Fleets.SERVICE, 0));
+        for (int number = 0; number < slices; number++) {
+            SliceId slice = new SliceId(Fleets.SERVICE, number);
+            VirtualNode owner = null;
+            for (VirtualNode node : nodes) {
+                if (admits(node, slice)) {
+                    Invariant.holds(owner == null, "two owners of " + slice + ": " + owner + " and " + node);
+                    owner = node;
+                    checkGrant(node, slice, ((ChunkRow) row.value()).grants().get(number));
+                }
+            }
+        }
+    }
+
+    private static void checkGrant(VirtualNode node, SliceId slice, SliceGrant stored) {
+        long epoch = node.core.ownership().epoch(slice);
+        boolean found = epoch < stored.epoch()
+                || epoch == stored.epoch() && stored.owner().equals(node.id);
+        Invariant.holds(found, "an acknowledged assignment is found again: " + node.id + " epoch " + epoch);
+    }
+
+    boolean allServed() {
+        for (int number = 0; number < slices; number++) {
+            SliceId slice = new SliceId(Fleets.SERVICE, number);
+            if (nodes.stream().noneMatch(node -> admits(node, slice))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    boolean serves(int place) {
+        for (int number = 0; number < slices; number++) {
+            if (admits(nodes.get(place), new SliceId(Fleets.SERVICE, number))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    Row member(VirtualNode node) {
+        return store.row(MemberRow.keyOf(node.id));
+    }
+}
--- /dev/null
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/fleet/VirtualNode.java
@@ -0,0 +1,98 @@
+package org.verbenamast.core.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.verbenamast.core.effect.Effect;
+import org.verbenamast.core.membership.ServerAnnouncement;
+import org.verbenamast.core.model.Address;
+import org.verbenamast.core.model.MemberId;
+import org.verbenamast.core.node.CoreSettings;
+import org.verbenamast.core.node.NodeCore;
+import org.verbenamast.core.node.NodeInput;
+import org.verbenamast.core.node.Timing;
+
+/** One run of a node with a clock of its own, which starts anywhere and drifts. */
+final class VirtualNode {
+
+    private static final long PER_MILLE = 1_000;
+
+    final int place;
+    final MemberId id;
+    final NodeCore core;
+    private final long clockStart;
+    private final long driftPerMille;
+    private final List<NodeInput> held = new ArrayList<>();
+    private long pausedUntil;
+    private boolean dead;
+    long wakeUp = -1;
+
+    VirtualNode(int place, CoreSettings settings, long clockStart, long driftPerMille) {
+        this.place = place;
+        this.id = settings.self();
+        this.core = new NodeCore(settings);
+        this.clockStart = clockStart;
+        this.driftPerMille = driftPerMille;
+    }
+
+    /** Converts true time to the time that the node's clock shows. */
+    long clock(long now) {
+        return clockStart + now + now * driftPerMille / PER_MILLE;
+    }
+
+    /** Converts a time of the node's clock to the first true time at which the clock shows it. */
+    long trueTime(long clock) {
+        if (clock == Long.MAX_VALUE) {
+            return Long.MAX_VALUE;
+        }
+        long near = Math.max(0, (clock - clockStart) * PER_MILLE / (PER_MILLE + driftPerMille));
+        return near + 1;
+    }
+
+    /** Hands in what happened, or keeps it while the node is paused. */
+    List<Effect> handle(NodeInput input, long now) {
+        if (dead) {
+            return List.of();
+        }
+        if (now < pausedUntil) {
+            held.add(input);
+            return List.of();
+        }
+        List<Effect> effects = new ArrayList<>();
+        List<NodeInput> inputs = new ArrayList<>(held);
+        held.clear();
+        inputs.add(input);
+        inputs.forEach(one -> effects.addAll(core.handle(one, clock(now))));
+        return effects;
+    }
+
+    NodeInput announcement() {
+        Address address = new Address("127.0.0.1", 9_000 + place);
+        return new NodeInput.ServerAnnounced(new ServerAnnouncement(Fleets.SERVICE, address, "start", 4, 0, false));
+    }
+
+    void pauseUntil(long until) {
+        pausedUntil = Math.max(pausedUntil, until);
+    }
+
+    long pausedUntil() {
+        return pausedUntil;
+    }
+
+    void kill() {
+        dead = true;
+    }
+
+    boolean dead() {
+        return dead;
+    }
+
+    @Override
+    public String toString() {
+        return id + " (place " + place + ")";
+    }
+
+    static long millis(long millis) {
+        return Timing.nanos(millis);
+    }
+}
