--- a/verbenamast-core/src/main/java/org/verbenamast/core/lease/HolderAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/lease/HolderAction.java
@@ -1,6 +1,7 @@
 package org.verbenamast.core.lease;
 
 import org.verbenamast.core.chart.Action;
+import org.verbenamast.core.effect.Effect;
 import org.verbenamast.core.effect.Effects;
 
 /** The steps in the chart of this node's own lease. */
@@ -47,6 +48,15 @@
             return data.withLapse(now);
         }
     },
+    /** Lets the process exit, so that it starts as another incarnation. */
+    GIVE_UP {
+        @Override
+        public HolderData apply(HolderData data, HolderInput input, long now, Effects effects) {
+            data.desk().giveUp();
+            effects.emit(new Effect.Stopped());
+            return data;
+        }
+    },
     /** Lets only requests count for serving that are sent from now on. */
     DISCOUNT_EARLIER {
         @Override
--- a/verbenamast-core/src/main/java/org/verbenamast/core/lease/HolderDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/lease/HolderDesk.java
@@ -166,6 +166,10 @@
         return terms;
     }
 
+    void giveUp() {
+        over = true;
+    }
+
     void forgetSilence() {
         probe.forget();
     }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/lease/HolderGuard.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/lease/HolderGuard.java
@@ -1,5 +1,7 @@
 package org.verbenamast.core.lease;
 
+import java.time.Duration;
+
 import org.verbenamast.core.chart.Guard;
 
 /** The conditions in the chart of this node's own lease. */
@@ -25,6 +27,13 @@
             return data.withWritten(input.sentAt()).heldUntil() > now;
         }
     },
+    /** The node has neither held its lease nor seen its row for so long that others may have forgotten its end. */
+    LAPSED_LONG_AGO {
+        @Override
+        public boolean permits(HolderData data, HolderInput input, long now) {
+            return now - data.standingUntil() > LONGEST_LAPSE_NANOS;
+        }
+    },
     /** A majority of each list vouches that may be in force after the row was learnt. */
     MAJORITY_OF_ROW {
         @Override
@@ -32,5 +41,7 @@
             PeerLists next = data.lists().learnt(input.version(), input.leasePeers());
             return data.withLists(next).heldUntil() > now;
         }
-    }
+    };
+
+    private static final long LONGEST_LAPSE_NANOS = Duration.ofHours(12).toNanos();
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/store/StoreEvent.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/store/StoreEvent.java
@@ -4,8 +4,10 @@
 public enum StoreEvent {
     /** The call is sent for the first time. */
     START,
-    /** The table service answered. */
+    /** The table service answered the present attempt. */
     REPLIED,
-    /** No answer came in time. */
-    TIMED_OUT
+    /** No answer to the present attempt came in time. */
+    TIMED_OUT,
+    /** The pause before the next attempt is over. */
+    BACKOFF_ENDED
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/store/StoreTimer.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/store/StoreTimer.java
@@ -4,7 +4,7 @@
 
 /** The timers in the chart of a call to the table service. */
 public enum StoreTimer implements TimerRule<StoreEvent, StoreCall> {
-    /** Bounds the wait for an answer. */
+    /** Bounds the wait for the answer to one attempt. */
     ANSWER {
         @Override
         public StoreEvent fires() {
@@ -13,7 +13,19 @@
 
         @Override
         public long delayNanos(StoreCall call, long now) {
-            return call.timeoutNanos();
+            return call.retries().timeoutNanos();
+        }
+    },
+    /** Waits before the next attempt. */
+    BACKOFF {
+        @Override
+        public StoreEvent fires() {
+            return StoreEvent.BACKOFF_ENDED;
+        }
+
+        @Override
+        public long delayNanos(StoreCall call, long now) {
+            return call.retries().backoffNanos(call);
         }
     }
 }
