--- a/verbenamast-core/src/main/java/org/verbenamast/core/membership/ReadingDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/membership/ReadingDesk.java
@@ -106,7 +106,7 @@
     }
 
     void readTable(TableName table, long now, Effects effects) {
-        store.submit(new StoreRequest.ScanTable(table), now, effects, this::answered);
+        store.submitOnce(new StoreRequest.ScanTable(table), now, effects, this::answered);
     }
 
     private void answered(StoreReply reply, long now, Effects effects) {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeCore.java
@@ -9,6 +9,7 @@
 import org.verbenamast.core.gate.ServeDesk;
 import org.verbenamast.core.gate.ServerReply;
 import org.verbenamast.core.gate.crash.SuspectDesk;
+import org.verbenamast.core.lease.LeaseDesk;
 import org.verbenamast.core.membership.Directory;
 import org.verbenamast.core.membership.MemberDesk;
 import org.verbenamast.core.membership.MemberRow;
@@ -28,6 +29,7 @@
 import org.verbenamast.core.store.Row;
 import org.verbenamast.core.store.StoreDesk;
 import org.verbenamast.core.store.StoreReply;
+import org.verbenamast.core.store.StoreRetries;
 import org.verbenamast.core.trace.DecisionLog;
 
 /**
@@ -48,6 +50,7 @@
     private final StoreDesk store;
     private final MemberDesk member;
     private final SpreadDesk spread;
+    private final LeaseDesk lease;
     private final ReadingDesk reading;
     private final OwnershipDesk ownership;
     private final EntryDesk entries;
@@ -55,6 +58,7 @@
     private final SuspectDesk suspects;
     private final Deque<NodeInput> toSelf = new ArrayDeque<>();
     private List<Effect> effects = new ArrayList<>();
+    private long expectedBy = Long.MAX_VALUE;
 
     /**
      * Makes the decisions of a node that has just started.
@@ -64,17 +68,13 @@
     public NodeCore(CoreSettings settings) {
         this.settings = settings;
         this.directory = new Directory(settings.services());
-        this.store = new StoreDesk(Timing.nanos(settings.timing().storeTimeoutMillis()), decisions);
+        this.store = new StoreDesk(
+                new StoreRetries(Timing.nanos(settings.timing().storeTimeoutMillis()), settings.seed()), decisions);
         this.member = new MemberDesk(settings, directory, store, this, decisions);
+        this.lease = new LeaseDesk(settings, directory, store, this, decisions);
         this.reading = new ReadingDesk(settings, directory, store, this, decisions);
-        this.ownership = new OwnershipDesk(
-                settings,
-                directory,
-                store,
-                OwnershipRules.DEFAULT,
-                now -> member.is(MemberTag.JOINED),
-                this,
-                decisions);
+        this.ownership =
+                new OwnershipDesk(settings, directory, store, OwnershipRules.DEFAULT, this::mayServe, this, decisions);
         this.spread = new SpreadDesk(settings, directory, ownership::rate);
         this.suspects = new SuspectDesk(settings.self(), directory, decisions);
         DirectoryRouter router = new DirectoryRouter(settings, directory, suspects, RoutePolicy.DEFAULT, decisions);
@@ -91,14 +91,26 @@
      */
     public List<Effect> handle(NodeInput input, long now) {
         effects = new ArrayList<>();
+        notePause(now);
         input.deliver(this, now);
         advance(now);
         while (!toSelf.isEmpty()) {
             toSelf.poll().deliver(this, now);
         }
+        expectedBy = nextDue();
         return effects;
     }
 
+    private void notePause(long now) {
+        if (expectedBy < now - Timing.nanos(settings.timing().pauseMillis())) {
+            lease.paused(now, this::emit);
+        }
+    }
+
+    private boolean mayServe(long now) {
+        return member.is(MemberTag.JOINED) && lease.holds(now);
+    }
+
     private void advance(long now) {
         store.advance(now, this::emit);
         member.advance(now, this::emit);
@@ -109,8 +121,10 @@
         serving.advance(now, this::emit);
         suspects.advance(now, this::emit);
         if (member.is(MemberTag.STOPPING) && ownership.owned() == 0 && serving.open() == 0 && entries.open() == 0) {
+            lease.leave(now, this::emit);
             member.emptied(now, this::emit);
         }
+        lease.advance(now, this::emit);
     }
 
     private void emit(Effect effect) {
@@ -129,6 +143,7 @@
     public long nextDue() {
         long due = Math.min(store.nextDue(), Math.min(member.nextDue(), spread.nextDue()));
         due = Math.min(due, Math.min(reading.nextDue(), suspects.nextDue()));
+        due = Math.min(due, lease.nextDue());
         return Math.min(due, Math.min(ownership.nextDue(), Math.min(entries.nextDue(), serving.nextDue())));
     }
 
@@ -159,6 +174,15 @@
         return member;
     }
 
+    /**
+     * Returns the node's lease, its promises and its take-overs.
+     *
+     * @return the desk that keeps them
+     */
+    public LeaseDesk lease() {
+        return lease;
+    }
+
     /**
      * Returns the slices that the node owns.
      *
@@ -214,6 +238,7 @@
             suspects.learnt(((MemberRow) row.value()).id(), now, this::emit);
         }
         member.learnt(row, now, this::emit);
+        lease.learnt(row, now, this::emit);
         ownership.learnt(row, now, this::emit);
         serving.runs().learnt(row, now, this::emit);
         return true;
@@ -271,22 +296,22 @@
 
     @Override
     public void onVouch(MemberId from, PeerMessage.Vouch message, long now) {
-        // Leases are not decided here yet.
+        lease.vouchAsked(from, message, now, this::emit);
     }
 
     @Override
     public void onVouchReply(MemberId from, PeerMessage.VouchReply message, long now) {
-        // Leases are not decided here yet.
+        lease.vouchReplied(from, message, now, this::emit);
     }
 
     @Override
     public void onSeal(MemberId from, PeerMessage.Seal message, long now) {
-        // Leases are not decided here yet.
+        lease.sealAsked(from, message, now, this::emit);
     }
 
     @Override
     public void onSealReply(MemberId from, PeerMessage.SealReply message, long now) {
-        // Leases are not decided here yet.
+        lease.sealReplied(from, message, now, this::emit);
     }
 
     @Override
--- a/verbenamast-core/src/main/java/org/verbenamast/core/ownership/OwnershipDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/ownership/OwnershipDesk.java
@@ -52,8 +52,8 @@
     private final SliceHeats heats;
     private final Set<Integer> busyChunks = new HashSet<>();
     private long operations;
-    private long nextReview;
-    private long nextHeats;
+    private long nextReview = Long.MIN_VALUE;
+    private long nextHeats = Long.MIN_VALUE;
 
     /**
      * Makes a desk that owns nothing.
--- a/verbenamast-core/src/main/java/org/verbenamast/core/store/StoreReply.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/store/StoreReply.java
@@ -33,7 +33,8 @@
     }
 
     /**
-     * A transaction did not take effect since a row had another version.
+     * A transaction did not take effect since a row had another version, or it did after a reply was lost, and later
+     * writes of others have replaced what it wrote. The rows show what holds now.
      *
      * @param rows the present rows of the transaction, as far as they exist
      */
