--- /dev/null
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/request/SuspectDeskTest.java
@@ -0,0 +1,74 @@
+package org.verbenamast.core.request;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.verbenamast.core.chart.TransitionListener;
+import org.verbenamast.core.effect.Effect;
+import org.verbenamast.core.gate.crash.CrashNews;
+import org.verbenamast.core.gate.crash.Fingerprint;
+import org.verbenamast.core.gate.crash.SuspectDesk;
+import org.verbenamast.core.gate.crash.SuspectStanding;
+import org.verbenamast.core.membership.Directory;
+import org.verbenamast.core.message.PeerMessage;
+import org.verbenamast.core.model.MemberId;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class SuspectDeskTest {
+
+    private static final CallerRequest READ =
+            new CallerRequest(FaultyFleet.VISIT.name(), "", Method.GET, "/visits", List.of(), Body.EMPTY, "", "");
+
+    private final List<Effect> effects = new ArrayList<>();
+    private final SuspectDesk desk = new SuspectDesk(
+            new MemberId("visit-0", 1), new Directory(List.of(FaultyFleet.VISIT)), TransitionListener.NONE);
+
+    @Test
+    void should_be_stopped_when_two_incidents_are_confirmed() {
+        hear("one", CrashNews.ACCUSED, CrashNews.CONFIRMED);
+        hear("two", CrashNews.ACCUSED);
+        assertThat(standing()).isEqualTo(SuspectStanding.HELD);
+        hear("two", CrashNews.CONFIRMED);
+        assertThat(standing()).isEqualTo(SuspectStanding.STOPPED);
+    }
+
+    @Test
+    void should_run_again_when_the_second_incident_is_dismissed() {
+        hear("one", CrashNews.ACCUSED, CrashNews.CONFIRMED);
+        hear("two", CrashNews.ACCUSED, CrashNews.DISMISSED);
+        assertThat(standing()).isEqualTo(SuspectStanding.CLEAR);
+    }
+
+    @Test
+    void should_not_count_an_incident_before_a_good_run_when_it_is_confirmed_late() {
+        hear("one", CrashNews.ACCUSED);
+        hear("", CrashNews.RAN_WELL);
+        hear("one", CrashNews.CONFIRMED);
+        hear("two", CrashNews.ACCUSED, CrashNews.CONFIRMED);
+        assertThat(standing()).isEqualTo(SuspectStanding.CLEAR);
+    }
+
+    @Test
+    void should_dismiss_its_own_incident_when_the_server_announces_the_same_start_twice() {
+        desk.started(READ);
+        desk.lost(READ, "start", 1, effects::add);
+        desk.announced("start", 2, effects::add);
+        assertThat(desk.sliceOf(READ, FaultyFleet.VISIT))
+                .as("runs at one member")
+                .isNotNull();
+        desk.announced("start", 3, effects::add);
+        assertThat(desk.sliceOf(READ, FaultyFleet.VISIT)).as("runs anywhere").isNull();
+    }
+
+    private void hear(String incident, CrashNews... news) {
+        for (CrashNews one : news) {
+            desk.heard(new PeerMessage.CrashNotice(List.of(Fingerprint.of(READ)), incident, one), 1, effects::add);
+        }
+    }
+
+    private SuspectStanding standing() {
+        return desk.standing(READ, FaultyFleet.VISIT, Fingerprint.of(READ).slice(FaultyFleet.VISIT));
+    }
+}
