Tests: a started node's first second, and a late confirmation after a good run

The trial that left the acquittal out of the chart still passed, as the test stopped before the late confirmation came again; it now sends it, and two tests cover what a started node waits for.

--- a/verbenamast-core/src/test/java/org/verbenamast/core/request/SuspectDeskTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/request/SuspectDeskTest.java
@@ -10,9 +10,11 @@
 import org.verbenamast.core.gate.crash.Fingerprint;
 import org.verbenamast.core.gate.crash.SuspectDesk;
 import org.verbenamast.core.gate.crash.SuspectStanding;
+import org.verbenamast.core.gate.crash.Suspicion;
 import org.verbenamast.core.membership.Directory;
 import org.verbenamast.core.message.PeerMessage;
 import org.verbenamast.core.model.MemberId;
+import org.verbenamast.core.node.Timing;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -47,6 +49,7 @@
         hear("", CrashNews.RAN_WELL);
         hear("one", CrashNews.CONFIRMED);
         hear("two", CrashNews.ACCUSED, CrashNews.CONFIRMED);
+        hear("one", CrashNews.CONFIRMED);
         assertThat(standing()).isEqualTo(SuspectStanding.CLEAR);
     }
 
@@ -62,6 +65,28 @@
         assertThat(desk.sliceOf(READ, FaultyFleet.VISIT)).as("runs anywhere").isNull();
     }
 
+    @Test
+    void should_be_ready_when_a_member_has_told_what_it_suspects() {
+        MemberId other = new MemberId("visit-1", 2);
+        desk.advance(1, effects::add);
+        assertThat(desk.ready()).isFalse();
+        desk.learnt(other, 2, effects::add);
+        assertThat(effects).containsExactly(new Effect.SendToPeer(other, new PeerMessage.CrashQuery()));
+        Suspicion known = new Suspicion(Fingerprint.of(READ), List.of(), List.of("one", "two"));
+        desk.answered(new PeerMessage.CrashHistory(List.of(known)), 3, effects::add);
+        assertThat(desk.ready()).isTrue();
+        assertThat(standing()).isEqualTo(SuspectStanding.STOPPED);
+    }
+
+    @Test
+    void should_be_ready_when_nobody_answers_within_a_second() {
+        desk.advance(1, effects::add);
+        desk.advance(Timing.nanos(999), effects::add);
+        assertThat(desk.ready()).isFalse();
+        desk.advance(Timing.nanos(1_001), effects::add);
+        assertThat(desk.ready()).isTrue();
+    }
+
     private void hear(String incident, CrashNews... news) {
         for (CrashNews one : news) {
             desk.heard(new PeerMessage.CrashNotice(List.of(Fingerprint.of(READ)), incident, one), 1, effects::add);
