Tests: a loss, an outage and a pause on virtual time, each bounded

Cause: the 4 s after a kill, the outage and the pause had no test of their own, and schedules did not look at leases of ended incarnations. Ruled out: a bound on the wall clock. Change: LossTest; schedules check after each step that an ended incarnation holds no lease, and messages reach whoever listens at an address.

--- /dev/null
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/fleet/LossTest.java
@@ -0,0 +1,77 @@
+package org.verbenamast.core.fleet;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class LossTest {
+
+    private static final long SETTLED = VirtualNode.millis(5_000);
+    private static final long BOUND = VirtualNode.millis(4_000);
+    private static final long OUTAGE = VirtualNode.millis(60_000);
+    private static final int KILLS = 20;
+    private static final int SLICES = 8;
+
+    @ParameterizedTest
+    @ValueSource(ints = {2, 3, 4, 8})
+    void should_serve_again_within_four_seconds_when_an_owner_is_killed(int size) {
+        List<Long> times = new ArrayList<>();
+        for (int seed = 0; seed < KILLS; seed++) {
+            VirtualFleet fleet = new VirtualFleet(seed, size, SLICES);
+            fleet.runUntil(SETTLED + VirtualNode.millis(seed * 37L));
+            fleet.killForGood(fleet.nodes.get(0));
+            long from = fleet.now();
+            assertThat(fleet.runUntilServed(from + BOUND)).as(fleet::trace).isTrue();
+            times.add((fleet.now() - from) / VirtualNode.millis(1));
+        }
+        Collections.sort(times);
+        System.out.printf(
+                "served again after a kill, %d nodes: min %d, median %d, max %d ms%n",
+                size, times.get(0), times.get(KILLS / 2), times.get(KILLS - 1));
+    }
+
+    @Test
+    void should_serve_on_and_change_no_owner_when_the_table_service_is_down() {
+        VirtualFleet fleet = new VirtualFleet(1, 4, SLICES);
+        fleet.runUntil(SETTLED);
+        List<Long> epochs = fleet.epochs();
+        fleet.links.storeDown = true;
+        for (long at = SETTLED; at < SETTLED + OUTAGE; at += VirtualNode.millis(10)) {
+            fleet.runUntil(at);
+            assertThat(fleet.allServed()).as(fleet::trace).isTrue();
+        }
+        assertThat(fleet.epochs()).isEqualTo(epochs);
+    }
+
+    @Test
+    void should_not_serve_when_it_wakes_until_its_peers_vouch_again() {
+        VirtualFleet fleet = new VirtualFleet(1, 4, SLICES);
+        fleet.runUntil(SETTLED);
+        VirtualNode node = fleet.nodes.get(0);
+        assertThat(fleet.serves(0)).isTrue();
+        fleet.links.storeDown = true;
+        fleet.pause(node, 1_000);
+        fleet.runUntil(SETTLED + VirtualNode.millis(1_000));
+        assertThat(fleet.serves(0))
+                .as("a pause shorter than the lease lapses it")
+                .isFalse();
+        fleet.runUntil(SETTLED + VirtualNode.millis(1_050));
+        assertThat(fleet.serves(0)).as("the peers vouched again").isTrue();
+    }
+
+    @Test
+    void should_serve_again_when_a_whole_zone_is_killed() {
+        VirtualFleet fleet = new VirtualFleet(1, 9, SLICES);
+        fleet.runUntil(SETTLED);
+        for (int place = 0; place < 9; place += 3) {
+            fleet.killForGood(fleet.nodes.get(place));
+        }
+        assertThat(fleet.runUntilServed(SETTLED + BOUND)).as(fleet::trace).isTrue();
+    }
+}
--- a/verbenamast-core/src/test/java/org/verbenamast/core/fleet/VirtualFleet.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/fleet/VirtualFleet.java
@@ -80,6 +80,17 @@
         }
     }
 
+    void killForGood(VirtualNode node) {
+        note("kill for good " + node.id);
+        node.kill();
+    }
+
+    /** Lists the epochs of all slices in the table service. */
+    List<Long> epochs() {
+        ChunkRow chunk = (ChunkRow) store.row(ChunkRow.keyOf(Fleets.SERVICE, 0)).value();
+        return chunk.grants().stream().map(SliceGrant::epoch).toList();
+    }
+
     void pause(VirtualNode node, long millis) {
         note("pause " + node.id + " for " + millis + " ms");
         node.pauseUntil(now + VirtualNode.millis(millis));
@@ -132,6 +143,7 @@
         Invariant.holds(++taken < MAX_STEPS, "no endless work");
         now = step.at();
         step.work().run();
+        checkLeases();
         checkOwners();
     }
 
@@ -191,9 +203,10 @@
         }
     }
 
+    /** Finds who listens at a member's address: a later incarnation gets what was sent to an earlier one. */
     private VirtualNode find(MemberId id) {
         for (VirtualNode node : nodes) {
-            if (node != null && node.id.equals(id)) {
+            if (node != null && node.id.node().equals(id.node())) {
                 return node;
             }
         }
@@ -220,6 +233,15 @@
         return node != null && !node.dead() && node.core.ownership().admits(slice, node.clock(now));
     }
 
+    private void checkLeases() {
+        for (VirtualNode node : nodes) {
+            if (node != null && !node.dead() && node.core.lease().holds(node.clock(now))) {
+                MemberRow row = (MemberRow) member(node).value();
+                Invariant.holds(!row.status().over(), "an ended incarnation holds no lease: " + node);
+            }
+        }
+    }
+
     private void checkOwners() {
         Row row = store.row(ChunkRow.keyOf(Fleets.SERVICE, 0));
         for (int number = 0; number < slices; number++) {
