Core: the operators' table, its sign-off by both organisations, and marks

Change: charts change, command and mark; signed commands (Ed25519 of the JDK over length-prefixed fields); one transaction writes the change, the version in force and the kept version; marks that remove work take force by gossip before the table service has them; the router and the assignment ask Marks and Weights; the operator interface of a node takes and answers the commands.

Before: no such command. After: CommandDeskTest 12, MarkDeskTest 9 and ChangeRaceTest 1 property of 400 tries pass. should_not_say_refused_when_an_earlier_try_may_still_take_effect was seen to fail (STALE_BASE where EFFECT_UNKNOWN was wanted) before the guard REFUSED_IN_DOUBT was added.

Conclusion: within the fakes nothing is accepted without both, on one hash and on its base. In-use limits are checked only against the backend server beside the node that is asked.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/effect/Effect.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/effect/Effect.java
@@ -8,7 +8,9 @@
 import org.verbenamast.core.model.RequestId;
 import org.verbenamast.core.request.CallerRequest;
 import org.verbenamast.core.request.RequestOutcome;
+import org.verbenamast.core.store.StoreReply;
 import org.verbenamast.core.store.StoreRequest;
+import org.verbenamast.core.table.CommandAnswer;
 
 /** What a decision wants done outside. */
 public sealed interface Effect {
@@ -108,6 +110,34 @@
         }
     }
 
+    /**
+     * Answers an operator's command.
+     *
+     * @param call the number under which the operator waits
+     * @param answer the answer
+     */
+    record AnswerOperator(long call, CommandAnswer answer) implements Effect {
+
+        /** Checks the answer. */
+        public AnswerOperator {
+            Objects.requireNonNull(answer, "answer");
+        }
+    }
+
+    /**
+     * Gives an operator rows of the table service.
+     *
+     * @param call the number under which the operator waits
+     * @param reply the rows, or why there are none
+     */
+    record ShowOperator(long call, StoreReply reply) implements Effect {
+
+        /** Checks the reply. */
+        public ShowOperator {
+            Objects.requireNonNull(reply, "reply");
+        }
+    }
+
     /** Tells the process that nothing holds it back from exiting. */
     record Stopped() implements Effect {}
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/membership/Directory.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/membership/Directory.java
@@ -17,6 +17,9 @@
 import org.verbenamast.core.store.Row;
 import org.verbenamast.core.store.RowKey;
 import org.verbenamast.core.store.TableName;
+import org.verbenamast.core.table.Marks;
+import org.verbenamast.core.table.TableIndex;
+import org.verbenamast.core.table.TableRow;
 
 /** The rows of the table service that a node knows. A row is only ever replaced by a later version. */
 public final class Directory {
@@ -24,6 +27,8 @@
     private final Map<RowKey, Row> rows = new HashMap<>();
     private final Map<MemberId, MemberRow> members = new TreeMap<>();
     private final Map<ServiceName, ServiceSettings> services = new HashMap<>();
+    private final TableIndex table = new TableIndex();
+    private final Marks marks = new Marks();
 
     /**
      * Makes an empty directory.
@@ -49,10 +54,39 @@
         if (row.key().table() == TableName.MEMBERS) {
             MemberRow member = (MemberRow) row.value();
             members.put(member.id(), member);
+        } else if (row.key().table() == TableName.TABLE) {
+            table.learn((TableRow) row.value());
         }
         return true;
     }
 
+    /**
+     * Returns the services of the fleet.
+     *
+     * @return their settings
+     */
+    public Collection<ServiceSettings> services() {
+        return services.values();
+    }
+
+    /**
+     * Returns the operators' table in force.
+     *
+     * @return the weights and limits
+     */
+    public TableIndex table() {
+        return table;
+    }
+
+    /**
+     * Returns what operators have taken out of service.
+     *
+     * @return the marks
+     */
+    public Marks marks() {
+        return marks;
+    }
+
     /**
      * Finds a row.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/membership/SpreadDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/membership/SpreadDesk.java
@@ -68,7 +68,9 @@
         }
         nextScan = now + Timing.nanos(SCAN_EVERY_MILLIS);
         for (TableName table : TableName.values()) {
-            store.submit(new StoreRequest.ScanTable(table), now, effects, this::scanned);
+            if (table.spread()) {
+                store.submit(new StoreRequest.ScanTable(table), now, effects, this::scanned);
+            }
         }
     }
 
--- a/verbenamast-core/src/main/java/org/verbenamast/core/message/PeerMessage.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/message/PeerMessage.java
@@ -9,10 +9,29 @@
 import org.verbenamast.core.request.RequestOutcome;
 import org.verbenamast.core.store.Row;
 import org.verbenamast.core.store.RowKey;
+import org.verbenamast.core.table.MarkRow;
 
 /** What members send each other. */
 public sealed interface PeerMessage {
 
+    /**
+     * Passes on an operator's mark that the table service is not known to have.
+     *
+     * @param mark the mark
+     */
+    record MarkPush(MarkRow mark) implements PeerMessage {
+
+        /** Checks the mark. */
+        public MarkPush {
+            Objects.requireNonNull(mark, "mark");
+        }
+
+        @Override
+        public void deliver(PeerMessageHandler handler, MemberId from, long now) {
+            handler.onMarkPush(from, this, now);
+        }
+    }
+
     /**
      * Hands this message to the method of a handler that takes its kind.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/message/PeerMessageHandler.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/message/PeerMessageHandler.java
@@ -103,4 +103,13 @@
      * @param now the monotonic time, in nanoseconds
      */
     void onRowRequest(MemberId from, PeerMessage.RowRequest message, long now);
+
+    /**
+     * Takes a mark.
+     *
+     * @param from the sender
+     * @param message the message
+     * @param now the monotonic time, in nanoseconds
+     */
+    void onMarkPush(MemberId from, PeerMessage.MarkPush message, long now);
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/node/CoreSettings.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/node/CoreSettings.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 
 import org.verbenamast.core.check.Checks;
 import org.verbenamast.core.model.Address;
@@ -10,6 +11,7 @@
 import org.verbenamast.core.model.ServiceName;
 import org.verbenamast.core.model.ServiceSettings;
 import org.verbenamast.core.model.Zone;
+import org.verbenamast.core.table.Operators;
 
 /**
  * What the decisions of a node need to know from its settings.
@@ -22,6 +24,8 @@
  * @param seeds where to ask for rows while the table service is down
  * @param timing the durations of the protocols
  * @param queueLimit how many requests may wait for the backend server
+ * @param zones the availability zones of the fleet, besides those of its members
+ * @param operators who may give commands
  * @param seed the seed of the node's random choices
  */
 public record CoreSettings(
@@ -33,6 +37,8 @@
         List<Address> seeds,
         Timing timing,
         int queueLimit,
+        Set<Zone> zones,
+        Operators operators,
         long seed) {
 
     /** Checks the parts and copies the lists. */
@@ -45,6 +51,8 @@
         seeds = List.copyOf(seeds);
         Objects.requireNonNull(timing, "timing");
         Checks.notNegative("queueLimit", queueLimit);
+        zones = Set.copyOf(zones);
+        Objects.requireNonNull(operators, "operators");
     }
 
     /**
--- a/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeCore.java
@@ -23,6 +23,14 @@
 import org.verbenamast.core.store.Row;
 import org.verbenamast.core.store.StoreDesk;
 import org.verbenamast.core.store.StoreReply;
+import org.verbenamast.core.store.StoreRequest;
+import org.verbenamast.core.table.ChangeCommand;
+import org.verbenamast.core.table.CommandDesk;
+import org.verbenamast.core.table.FleetView;
+import org.verbenamast.core.table.MarkDesk;
+import org.verbenamast.core.table.MarkRow;
+import org.verbenamast.core.table.ServerName;
+import org.verbenamast.core.table.TableScope;
 import org.verbenamast.core.trace.DecisionLog;
 
 /**
@@ -46,6 +54,8 @@
     private final OwnershipDesk ownership;
     private final EntryDesk entries;
     private final ServeDesk serving;
+    private final CommandDesk commands;
+    private final MarkDesk marks;
     private final Deque<NodeInput> toSelf = new ArrayDeque<>();
     private List<Effect> effects = new ArrayList<>();
 
@@ -64,6 +74,9 @@
                 new OwnershipDesk(settings, directory, store, now -> member.is(MemberTag.JOINED), this, decisions);
         this.entries = new EntryDesk(settings, new DirectoryRouter(settings, directory), decisions);
         this.serving = new ServeDesk(settings, member, ownership, decisions);
+        FleetView fleet = new FleetView(directory, settings.services(), settings.zones(), this::running);
+        this.commands = new CommandDesk(settings.operators(), directory, fleet, store, this, decisions);
+        this.marks = new MarkDesk(settings, directory, fleet, store, this, decisions);
     }
 
     /**
@@ -90,6 +103,8 @@
         ownership.advance(now, this::emit);
         entries.advance(now, this::emit);
         serving.advance(now, this::emit);
+        commands.advance(now, this::emit);
+        marks.advance(now, this::emit);
         if (member.is(MemberTag.STOPPING) && ownership.owned() == 0 && serving.open() == 0 && entries.open() == 0) {
             member.emptied(now, this::emit);
         }
@@ -110,6 +125,7 @@
      */
     public long nextDue() {
         long due = Math.min(store.nextDue(), Math.min(member.nextDue(), spread.nextDue()));
+        due = Math.min(due, Math.min(commands.nextDue(), marks.nextDue()));
         return Math.min(due, Math.min(ownership.nextDue(), Math.min(entries.nextDue(), serving.nextDue())));
     }
 
@@ -149,6 +165,15 @@
         return ownership;
     }
 
+    /**
+     * Returns the operators' marks.
+     *
+     * @return the desk that keeps them
+     */
+    public MarkDesk marks() {
+        return marks;
+    }
+
     /**
      * Returns the requests at the backend server beside the node.
      *
@@ -180,6 +205,7 @@
 
     private void learn(Row row, long now) {
         if (directory.learn(row)) {
+            marks.learnt(row, now, this::emit);
             member.learnt(row, now, this::emit);
             ownership.learnt(row, now, this::emit);
         }
@@ -215,6 +241,32 @@
         store.replied(call, reply, now, this::emit);
     }
 
+    private long running(TableScope scope) {
+        TableScope own =
+                TableScope.of(settings.service(), new ServerName(settings.self().node()));
+        boolean holdsOwn = scope.service().equals(settings.service())
+                && scope.zone().map(settings.zone()::equals).orElse(true)
+                && scope.server().map(own.server().orElseThrow()::equals).orElse(true);
+        return holdsOwn ? serving.running() : 0;
+    }
+
+    void onChangeCommanded(long call, ChangeCommand command, long now) {
+        commands.submit(call, command, now, this::emit);
+    }
+
+    void onMarkCommanded(long call, MarkRow mark, long now) {
+        marks.submit(call, mark, now, this::emit);
+    }
+
+    void onRowsAsked(long call, StoreRequest request, long now) {
+        store.submit(request, now, this::emit, (reply, at, out) -> out.emit(new Effect.ShowOperator(call, reply)));
+    }
+
+    @Override
+    public void onMarkPush(MemberId from, PeerMessage.MarkPush message, long now) {
+        marks.heard(message.mark(), now, this::emit);
+    }
+
     void onStopRequested(long now) {
         member.stop(now, this::emit);
     }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeInput.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeInput.java
@@ -9,6 +9,9 @@
 import org.verbenamast.core.model.RequestId;
 import org.verbenamast.core.request.CallerRequest;
 import org.verbenamast.core.store.StoreReply;
+import org.verbenamast.core.store.StoreRequest;
+import org.verbenamast.core.table.ChangeCommand;
+import org.verbenamast.core.table.MarkRow;
 
 /** What may reach the decisions of a node from outside. */
 public sealed interface NodeInput {
@@ -175,6 +178,63 @@
         }
     }
 
+    /**
+     * An operator gave a command about a change of the table.
+     *
+     * @param call the number under which the operator waits
+     * @param command the command
+     */
+    record ChangeCommanded(long call, ChangeCommand command) implements NodeInput {
+
+        /** Checks the command. */
+        public ChangeCommanded {
+            Objects.requireNonNull(command, "command");
+        }
+
+        @Override
+        public void deliver(NodeCore node, long now) {
+            node.onChangeCommanded(call, command, now);
+        }
+    }
+
+    /**
+     * An operator marked an availability zone or a backend server.
+     *
+     * @param call the number under which the operator waits
+     * @param mark the mark
+     */
+    record MarkCommanded(long call, MarkRow mark) implements NodeInput {
+
+        /** Checks the mark. */
+        public MarkCommanded {
+            Objects.requireNonNull(mark, "mark");
+        }
+
+        @Override
+        public void deliver(NodeCore node, long now) {
+            node.onMarkCommanded(call, mark, now);
+        }
+    }
+
+    /**
+     * An operator asked for rows of the table service.
+     *
+     * @param call the number under which the operator waits
+     * @param request which rows
+     */
+    record RowsAsked(long call, StoreRequest request) implements NodeInput {
+
+        /** Checks the request. */
+        public RowsAsked {
+            Objects.requireNonNull(request, "request");
+        }
+
+        @Override
+        public void deliver(NodeCore node, long now) {
+            node.onRowsAsked(call, request, now);
+        }
+    }
+
     /** The process was asked to stop. */
     record StopRequested() implements NodeInput {
 
--- a/verbenamast-core/src/main/java/org/verbenamast/core/ownership/OwnershipDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/ownership/OwnershipDesk.java
@@ -16,6 +16,7 @@
 import org.verbenamast.core.chart.file.ChartReader;
 import org.verbenamast.core.effect.Effects;
 import org.verbenamast.core.membership.Directory;
+import org.verbenamast.core.membership.MemberRow;
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.model.ServiceSettings;
 import org.verbenamast.core.model.SliceId;
@@ -204,8 +205,10 @@
 
     private List<MemberId> targets() {
         List<Candidate> candidates = new ArrayList<>();
-        directory.activeMembers(service.name()).forEach(member -> candidates.add(new Candidate(member.id(), 1)));
-        if (candidates.isEmpty()) {
+        directory
+                .activeMembers(service.name())
+                .forEach(member -> candidates.add(new Candidate(member.id(), weight(member))));
+        if (candidates.stream().allMatch(candidate -> candidate.weight() == 0)) {
             return List.of();
         }
         List<MemberId> owners = new ArrayList<>();
@@ -213,6 +216,10 @@
         return AssignmentPolicy.BALANCED.targets(owners, candidates);
     }
 
+    private int weight(MemberRow member) {
+        return directory.marks().isOut(member) ? 0 : directory.table().weights().of(member);
+    }
+
     private void startMoves(List<MemberId> targets, long now, Effects effects) {
         List<SliceId> leaving = new ArrayList<>();
         int[] moving = {0};
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/DirectoryRouter.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/DirectoryRouter.java
@@ -45,11 +45,15 @@
     private MemberId ownerOf(ServiceSettings service, String key) {
         SliceGrant grant = directory.grant(service.sliceOf(key));
         MemberRow owner = directory.member(grant.owner());
-        return owner == null || owner.status().over() ? MemberId.NONE : owner.id();
+        boolean serves =
+                owner != null && !owner.status().over() && !directory.marks().isClosed(owner);
+        return serves ? owner.id() : MemberId.NONE;
     }
 
     private MemberId anyOf(ServiceSettings service) {
         List<MemberId> members = directory.activeMembers(service.name()).stream()
+                .filter(member -> !directory.marks().isOut(member))
+                .filter(member -> directory.table().weights().of(member) > 0)
                 .map(MemberRow::id)
                 .toList();
         if (members.isEmpty()) {
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/table/Organisation.java
@@ -0,0 +1,21 @@
+package org.verbenamast.core.table;
+
+import org.verbenamast.core.check.Checks;
+
+/**
+ * One of the two organisations that own the fleet together.
+ *
+ * @param value the organisation's name
+ */
+public record Organisation(String value) {
+
+    /** Checks that the name is not blank. */
+    public Organisation {
+        Checks.notBlank("organisation", value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/table/Desks.java
@@ -0,0 +1,124 @@
+package org.verbenamast.core.table;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.verbenamast.core.chart.TransitionListener;
+import org.verbenamast.core.effect.Effect;
+import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.membership.Directory;
+import org.verbenamast.core.message.PeerMessage;
+import org.verbenamast.core.model.Address;
+import org.verbenamast.core.model.MemberId;
+import org.verbenamast.core.model.ServiceName;
+import org.verbenamast.core.model.ServiceSettings;
+import org.verbenamast.core.model.Zone;
+import org.verbenamast.core.node.CoreSettings;
+import org.verbenamast.core.node.RowSink;
+import org.verbenamast.core.node.Timing;
+import org.verbenamast.core.store.Row;
+import org.verbenamast.core.store.StoreDesk;
+import org.verbenamast.core.store.StoreReply;
+
+/** The desks of one node for operators' commands, with what it sent and was not answered yet. */
+final class Desks implements RowSink {
+
+    static final ServiceSettings STOCK = new ServiceSettings(new ServiceName("stock"), true, 16, 16, true);
+    static final Zone JKT = new Zone("jkt");
+    static final Zone BDG = new Zone("bdg");
+
+    final Directory directory = new Directory(List.of(STOCK));
+    final Map<Long, List<CommandAnswer>> answers = new HashMap<>();
+    final List<Effect.CallStore> calls = new ArrayList<>();
+    final List<PeerMessage> sent = new ArrayList<>();
+    final CommandDesk commands;
+    final MarkDesk marks;
+    private final StoreDesk store;
+    private long now;
+
+    Desks(int number, TableUse use) {
+        this.store = new StoreDesk(Timing.nanos(1_000), TransitionListener.NONE);
+        FleetView fleet = new FleetView(directory, List.of(STOCK), Set.of(JKT, BDG), use);
+        MemberId self = new MemberId("node-" + number, 1);
+        CoreSettings settings = new CoreSettings(
+                self,
+                STOCK.name(),
+                JKT,
+                new Address("127.0.0.1", 1),
+                List.of(STOCK),
+                List.of(),
+                Timing.DEFAULT,
+                1,
+                Set.of(),
+                Pen.OPERATORS,
+                number);
+        this.commands = new CommandDesk(Pen.OPERATORS, directory, fleet, store, this, TransitionListener.NONE);
+        this.marks = new MarkDesk(settings, directory, fleet, store, this, TransitionListener.NONE);
+    }
+
+    @Override
+    public void wrote(Row row, long at, Effects effects) {
+        read(row, at, effects);
+    }
+
+    @Override
+    public void read(Row row, long at, Effects effects) {
+        if (directory.learn(row)) {
+            marks.learnt(row, at, this::take);
+        }
+    }
+
+    private void take(Effect effect) {
+        if (effect instanceof Effect.CallStore call) {
+            calls.add(call);
+        } else if (effect instanceof Effect.AnswerOperator answer) {
+            answers.computeIfAbsent(answer.call(), call -> new ArrayList<>()).add(answer.answer());
+        } else if (effect instanceof Effect.SendToPeer send) {
+            sent.add(send.message());
+        }
+    }
+
+    void submit(long call, ChangeCommand command) {
+        commands.submit(call, command, now, this::take);
+    }
+
+    void submit(long call, MarkRow mark) {
+        marks.submit(call, mark, now, this::take);
+    }
+
+    void heard(MarkRow mark) {
+        marks.heard(mark, now, this::take);
+    }
+
+    void learn(Row row) {
+        read(row, now, this::take);
+    }
+
+    void reply(Effect.CallStore call, StoreReply reply) {
+        store.replied(call.call(), reply, now, this::take);
+    }
+
+    void pass(long millis) {
+        now += Timing.nanos(millis);
+        store.advance(now, this::take);
+        commands.advance(now, this::take);
+        marks.advance(now, this::take);
+    }
+
+    void settle(FakeStore tables) {
+        for (int i = 0; i < 100; i++) {
+            while (!calls.isEmpty()) {
+                Effect.CallStore call = calls.remove(0);
+                reply(call, tables.serve(call.request()));
+            }
+            pass(100);
+        }
+    }
+
+    CommandAnswer answer(long call) {
+        return answers.get(call).get(0);
+    }
+}
--- a/verbenamast-node/src/main/java/org/verbenamast/node/NodeEffects.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/NodeEffects.java
@@ -9,6 +9,7 @@
 import org.verbenamast.core.request.CallerRequest;
 import org.verbenamast.node.caller.CallerFront;
 import org.verbenamast.node.loop.EffectRunner;
+import org.verbenamast.node.operator.OperatorFront;
 import org.verbenamast.node.peer.PeerLinks;
 import org.verbenamast.node.platform.PlatformClient;
 import org.verbenamast.node.server.ServerClient;
@@ -22,6 +23,7 @@
     private final Spans spans;
     private final Runnable stopped;
     private CallerFront callers;
+    private OperatorFront operators;
     private PeerLinks peers;
     private PlatformClient platform;
     private ServerClient server;
@@ -33,8 +35,14 @@
     }
 
     /** Sets the clients and fronts, which themselves need the loop that runs these effects. */
-    void connect(CallerFront front, PeerLinks links, PlatformClient platformClient, ServerClient serverClient) {
+    void connect(
+            CallerFront front,
+            OperatorFront operatorFront,
+            PeerLinks links,
+            PlatformClient platformClient,
+            ServerClient serverClient) {
         this.callers = Objects.requireNonNull(front, "front");
+        this.operators = Objects.requireNonNull(operatorFront, "operatorFront");
         this.peers = Objects.requireNonNull(links, "links");
         this.platform = Objects.requireNonNull(platformClient, "platformClient");
         this.server = Objects.requireNonNull(serverClient, "serverClient");
@@ -53,6 +61,10 @@
             platform.call(call);
         } else if (effect instanceof Effect.CancelAtServer cancel) {
             server.cancel(cancel);
+        } else if (effect instanceof Effect.AnswerOperator answer) {
+            operators.calls().answer(answer);
+        } else if (effect instanceof Effect.ShowOperator show) {
+            operators.calls().show(show);
         } else if (effect instanceof Effect.Stopped) {
             stopped.run();
         }
--- a/verbenamast-node/src/main/java/org/verbenamast/node/NodeProcess.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/NodeProcess.java
@@ -66,6 +66,7 @@
         this.peerLinks = new PeerLinks(eventloop, self, settings.limits().maxFrameBytes(), observer);
         effects.connect(
                 callers,
+                operators,
                 peerLinks,
                 new PlatformClient(http, settings.platform(), loop::feed),
                 new ServerClient(http, settings.limits().maxBodyBytes(), observer::happened));
@@ -81,6 +82,8 @@
                 settings.seeds(),
                 settings.timing(),
                 settings.limits().queueLimit(),
+                settings.zones(),
+                settings.operatorKeys(),
                 self.incarnation());
     }
 
--- a/verbenamast-node/src/main/java/org/verbenamast/node/operator/OperatorFront.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/operator/OperatorFront.java
@@ -27,6 +27,7 @@
     private final NodeCore core;
     private final NodeLoop loop;
     private final NodeMetrics metrics;
+    private final OperatorCalls calls;
     private final HttpServer server;
 
     /**
@@ -42,10 +43,18 @@
         this.core = Objects.requireNonNull(core, "core");
         this.loop = Objects.requireNonNull(loop, "loop");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
+        this.calls = new OperatorCalls(loop);
         RoutingServlet routes = RoutingServlet.builder(eventloop)
                 .with(HttpMethod.GET, "/metrics", request -> metrics())
                 .with(HttpMethod.GET, "/v1/status", request -> json(StatusJson.status(this.core)))
-                .with(HttpMethod.GET, "/v1/owners", request -> json(StatusJson.owners(this.core)))
+                .with(HttpMethod.GET, "/v1/owners", request -> json(StatusJson.owners(this.core, request)))
+                .with(HttpMethod.GET, "/v1/table", request -> json(StatusJson.table(this.core)))
+                .with(HttpMethod.GET, "/v1/table/versions/:version", calls::version)
+                .with(HttpMethod.GET, "/v1/changes", request -> calls.changes())
+                .with(HttpMethod.GET, "/v1/changes/:change", calls::change)
+                .with(HttpMethod.POST, "/v1/changes", calls::command)
+                .with(HttpMethod.GET, "/v1/marks", request -> json(StatusJson.marks(this.core)))
+                .with(HttpMethod.POST, "/v1/marks", calls::mark)
                 .with(HttpMethod.GET, "/v1/decisions", request -> json(StatusJson.decisions(this.core, request)))
                 .with(HttpMethod.POST, "/v1/announce", this::announce)
                 .with(HttpMethod.POST, "/v1/stop", request -> stop())
@@ -64,6 +73,15 @@
         server.listen();
     }
 
+    /**
+     * Returns the operators' requests that wait for the node's decisions.
+     *
+     * @return the requests
+     */
+    public OperatorCalls calls() {
+        return calls;
+    }
+
     private Promise<HttpResponse> metrics() throws IOException {
         return HttpResponse.ok200()
                 .withHeader(HttpHeaders.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8")
--- a/verbenamast-node/src/main/java/org/verbenamast/node/settings/NodeSettings.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/settings/NodeSettings.java
@@ -2,12 +2,14 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 
 import org.verbenamast.core.model.Address;
 import org.verbenamast.core.model.ServiceName;
 import org.verbenamast.core.model.ServiceSettings;
 import org.verbenamast.core.model.Zone;
 import org.verbenamast.core.node.Timing;
+import org.verbenamast.core.table.Operators;
 
 /**
  * The settings of a node.
@@ -22,6 +24,8 @@
  * @param platform where the platform's table service listens
  * @param seeds other nodes to ask while the table service is down
  * @param services all services of the fleet
+ * @param zones the availability zones of the fleet, besides those of its members
+ * @param operatorKeys the operators of both organisations
  * @param timing the durations of the protocols
  * @param limits the sizes that the node accepts
  * @param traceRatio the share of requests that are traced without a caller's wish
@@ -37,6 +41,8 @@
         Address platform,
         List<Address> seeds,
         List<ServiceSettings> services,
+        Set<Zone> zones,
+        Operators operatorKeys,
         Timing timing,
         NodeLimits limits,
         double traceRatio) {
@@ -53,6 +59,8 @@
         Objects.requireNonNull(platform, "platform");
         seeds = List.copyOf(seeds);
         services = List.copyOf(services);
+        zones = Set.copyOf(zones);
+        Objects.requireNonNull(operatorKeys, "operatorKeys");
         Objects.requireNonNull(timing, "timing");
         Objects.requireNonNull(limits, "limits");
     }
--- a/verbenamast-node/src/main/java/org/verbenamast/node/settings/NodeSettingsReader.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/settings/NodeSettingsReader.java
@@ -1,5 +1,7 @@
 package org.verbenamast.node.settings;
 
+import java.util.HashSet;
+
 import org.verbenamast.core.model.Address;
 import org.verbenamast.core.model.ServiceName;
 import org.verbenamast.core.model.ServiceSettings;
@@ -43,6 +45,8 @@
                 file.form("platform", ADDRESS, Address::parse, HARMLESS),
                 file.forms("seeds", "a list of addresses", Address::parse),
                 file.objects("services", "a list of services", NodeSettingsReader::service),
+                new HashSet<>(file.forms("zones", "a list of names of availability zones", Zone::new)),
+                OperatorKeysReader.read(file),
                 timing(file.object("timing")),
                 limits(file.object("limits")),
                 file.ratio("traceRatio", DEFAULT_TRACE_RATIO));
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerCodec.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerCodec.java
@@ -79,6 +79,7 @@
                 new PeerMessage.DigestOffer(envelope.getDigestOffer().getBucketsList());
             case BUCKET_VERSIONS -> RowCodec.decode(envelope.getBucketVersions());
             case ROW_REQUEST -> RowCodec.decode(envelope.getRowRequest());
+            case MARK_PUSH -> TableCodec.decode(envelope.getMarkPush());
             case KIND_NOT_SET -> throw WireException.shouldHaveKnownKind();
         };
     }
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerEncoder.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerEncoder.java
@@ -82,4 +82,9 @@
     public void onRowRequest(MemberId from, PeerMessage.RowRequest message, long now) {
         envelope.setRowRequest(RowCodec.encode(message));
     }
+
+    @Override
+    public void onMarkPush(MemberId from, PeerMessage.MarkPush message, long now) {
+        envelope.setMarkPush(TableCodec.encode(message));
+    }
 }
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/RowJson.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/RowJson.java
@@ -32,7 +32,8 @@
                     .addSerializer(new TextForm.Writer<>(ServiceName.class))
                     .addDeserializer(ServiceName.class, new TextForm.Reader<>(ServiceName.class, ServiceName::new))
                     .addSerializer(new TextForm.Writer<>(Zone.class))
-                    .addDeserializer(Zone.class, new TextForm.Reader<>(Zone.class, Zone::new)));
+                    .addDeserializer(Zone.class, new TextForm.Reader<>(Zone.class, Zone::new)))
+            .registerModule(TableForms.module());
 
     private RowJson() {}
 
@@ -115,6 +116,32 @@
         return rows;
     }
 
+    /**
+     * Writes rows as a reply of the table service carries them.
+     *
+     * @param rows the rows
+     * @return the JSON
+     */
+    public static byte[] writeReply(List<Row> rows) {
+        List<RowItem> items = new ArrayList<>();
+        rows.forEach(row -> items.add(
+                new RowItem(row.key().table().name(), row.key().id(), row.version(), MAPPER.valueToTree(row.value()))));
+        try {
+            return MAPPER.writeValueAsBytes(new RowsJson(items));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("rows should always be writable", e);
+        }
+    }
+
+    /**
+     * Returns the mapper that knows the text forms of small records.
+     *
+     * @return the mapper, which is not changed any more
+     */
+    static ObjectMapper mapper() {
+        return MAPPER;
+    }
+
     private static final java.nio.charset.Charset UTF_8 = java.nio.charset.StandardCharsets.UTF_8;
 
     /**
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/settings/SettingsNode.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/settings/SettingsNode.java
@@ -200,6 +200,19 @@
         return values;
     }
 
+    /**
+     * Reads a list of objects that may be missing.
+     *
+     * @param field the field's name
+     * @param wanted what should stand there
+     * @param reader reads one object
+     * @param <T> the type of the values
+     * @return the values; empty where the list is missing or there is a fault
+     */
+    public <T> List<T> optionalObjects(String field, String wanted, Function<SettingsNode, T> reader) {
+        return node.has(field) ? objects(field, wanted, reader) : skipped(field, List.of());
+    }
+
     /**
      * Reads a list of texts of a certain form that may be missing.
      *
