--- a/verbenamast-core/src/main/java/org/verbenamast/core/node/CoreSettings.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/node/CoreSettings.java
@@ -55,6 +55,32 @@
         Objects.requireNonNull(operators, "operators");
     }
 
+    /**
+     * Makes settings that name no operators and no availability zones.
+     *
+     * @param self this run of the node
+     * @param service the service of the backend server beside the node
+     * @param zone the node's availability zone
+     * @param peer where other members reach this node
+     * @param services all services of the fleet
+     * @param seeds where to ask for rows while the table service is down
+     * @param timing the durations of the protocols
+     * @param queueLimit how many requests may wait for the backend server
+     * @param seed the seed of the node's random choices
+     */
+    public CoreSettings(
+            MemberId self,
+            ServiceName service,
+            Zone zone,
+            Address peer,
+            List<ServiceSettings> services,
+            List<Address> seeds,
+            Timing timing,
+            int queueLimit,
+            long seed) {
+        this(self, service, zone, peer, services, seeds, timing, queueLimit, Set.of(), Operators.NONE, seed);
+    }
+
     /**
      * Finds a service.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/store/TableName.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/store/TableName.java
@@ -6,7 +6,10 @@
 import org.verbenamast.core.table.MarkRow;
 import org.verbenamast.core.table.TableRow;
 
-/** The tables that the platform's table service keeps for the fleet, with the type of their rows. */
+/**
+ * The tables that the platform's table service keeps for the fleet, with the type of their rows. Those that
+ * are not spread stand last.
+ */
 public enum TableName {
     /** One row per run of a node. */
     MEMBERS(MemberRow.class),
--- a/verbenamast-core/src/main/java/org/verbenamast/core/table/MarkDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/table/MarkDesk.java
@@ -195,7 +195,7 @@
     }
 
     void enforce(MarkRow mark, long now) {
-        directory.marks().learn(mark, now + Timing.nanos(CLOSE_AFTER_MILLIS));
+        directory.mark(mark, now + Timing.nanos(CLOSE_AFTER_MILLIS));
     }
 
     void passOn(MarkRow mark, Effects effects) {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/table/Marks.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/table/Marks.java
@@ -32,7 +32,7 @@
      * @param closesAt the monotonic time at which what it takes out is given nothing more at all, in nanoseconds
      * @return whether it is newer than what was known
      */
-    boolean learn(MarkRow mark, long closesAt) {
+    public boolean learn(MarkRow mark, long closesAt) {
         MarkRow known = find(mark.subject());
         if (!mark.newerThan(known)) {
             return false;
--- a/verbenamast-core/src/test/java/org/verbenamast/core/table/CommandDeskTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/table/CommandDeskTest.java
@@ -83,6 +83,9 @@
         give(Pen.ANI.edit("o5", "c1", 0, FULL, HALF));
         assertThat(give(early).outcome()).as("replayed").isEqualTo(CommandOutcome.REPEATED);
         assertThat(give(Pen.ANI.approve("o6", "c1", 0, HALF)).state()).isEqualTo("SIGNED_BY_ONE");
+        assertThat(give(Pen.SALMA.approve("o7", "c1", 0, HALF)).state()).isEqualTo("ACCEPTED");
+        TableRow accepted = (TableRow) tables.row(TableRow.KEY).value();
+        assertThat(accepted.approvals()).extracting(Approval::operation).containsExactly("o6", "o7");
     }
 
     @Test
--- a/verbenamast-node/src/main/java/org/verbenamast/node/caller/CallerFront.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/caller/CallerFront.java
@@ -80,6 +80,9 @@
     }
 
     private Promise<HttpResponse> serve(HttpRequest http) {
+        if (Headers.announcedBytes(http) > settings.limits().maxBodyBytes()) {
+            return refuse(NotRunReason.BODY_TOO_LARGE);
+        }
         return http.loadBody(settings.limits().maxBodyBytes())
                 .then((body, e) -> e == null ? take(http, body) : refuse(NotRunReason.BODY_TOO_LARGE));
     }
@@ -128,6 +131,15 @@
         caller.answer().trySet(CallerResponses.of(reply.outcome()));
     }
 
+    /**
+     * Takes no new connections and lets the answers under way reach their callers.
+     *
+     * @return completes when no caller is left
+     */
+    public Promise<?> finish() {
+        return server.close();
+    }
+
     @Override
     public void close() {
         server.close();
