--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerCodec.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerCodec.java
@@ -107,6 +107,7 @@
             case CRASH_NOTICE -> CrashCodec.decode(envelope.getCrashNotice());
             case CRASH_QUERY -> new PeerMessage.CrashQuery();
             case CRASH_HISTORY -> CrashCodec.decode(envelope.getCrashHistory());
+            case MARK_PUSH -> TableCodec.decode(envelope.getMarkPush());
             case KIND_NOT_SET -> throw WireException.shouldHaveKnownKind();
         };
     }
