Links: a connection names the member that it is meant for; another run of the node refuses it

Ruled out: an identity in each kind of message (every kind would have to remember it); the sender's id alone, which says nothing of the receiver. Change: the first message of a connection carries the receiver's incarnation; where it is another one the connection is ended and counted as misaddressed. Seeds, of which only the address is known, are not named. Conclusion: what is meant for one run never reaches another.

--- a/verbenamast-it/src/test/java/org/verbenamast/it/PeerInputTest.java
+++ b/verbenamast-it/src/test/java/org/verbenamast/it/PeerInputTest.java
@@ -8,12 +8,16 @@
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Test;
+import org.verbenamast.core.message.PeerMessage;
 import org.verbenamast.core.model.Address;
+import org.verbenamast.core.model.MemberId;
 import org.verbenamast.it.deploy.Deployment;
 import org.verbenamast.it.deploy.DeploymentPlan.HostPlan;
 import org.verbenamast.it.deploy.Plans;
 import org.verbenamast.it.deploy.Wiring;
 import org.verbenamast.wire.FrameCodec;
+import org.verbenamast.wire.Opening;
+import org.verbenamast.wire.PeerCodec;
 import org.verbenamast.wire.generated.Envelope;
 import org.verbenamast.wire.generated.Member;
 
@@ -79,6 +83,23 @@
         shouldServe();
     }
 
+    @Test
+    void should_end_the_link_when_it_is_meant_for_an_earlier_run() throws IOException {
+        MemberId sender = new MemberId("other", 5);
+        MemberId earlier = new MemberId(host.name(), 1);
+        Opening opening = new Opening(new Address("127.0.0.1", 1), earlier);
+        PeerMessage vouched = new PeerMessage.VouchReply(0, true);
+        try (Socket link = link();
+                FrameCodec codec = new FrameCodec(MAX_FRAME_BYTES)) {
+            send(link, codec.encode(PeerCodec.encodeFirst(sender, opening, vouched)));
+            awaitCount("misaddressed", 1);
+            assertThat(link.getInputStream().read())
+                    .as("the node ends the link")
+                    .isEqualTo(-1);
+        }
+        shouldServe();
+    }
+
     private static Socket link() throws IOException {
         Address address = Address.parse(host.peers());
         Socket socket = new Socket();
--- a/verbenamast-node/src/main/java/org/verbenamast/node/NodeProcess.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/NodeProcess.java
@@ -63,7 +63,8 @@
         this.operators = new OperatorFront(eventloop, settings.operators(), core, loop, metrics);
         int maxFrameBytes = settings.limits().maxFrameBytes();
         this.peerLinks = new PeerLinks(eventloop, self, settings.advertise(), maxFrameBytes, observer);
-        this.peerServer = new PeerServer(eventloop, settings.peers(), maxFrameBytes, observer, peerLinks::announced);
+        this.peerServer =
+                new PeerServer(eventloop, self, settings.peers(), maxFrameBytes, observer, peerLinks::announced);
         effects.connect(
                 callers,
                 peerLinks,
--- a/verbenamast-node/src/main/java/org/verbenamast/node/peer/PeerLink.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/peer/PeerLink.java
@@ -96,7 +96,7 @@
             return PeerCodec.encode(links.self(), message);
         }
         first = false;
-        return PeerCodec.encodeFirst(links.self(), links.listensAt(), message);
+        return PeerCodec.encodeFirst(links.self(), links.openingTo(member), message);
     }
 
     void writeOn() {
--- a/verbenamast-node/src/main/java/org/verbenamast/node/peer/PeerLinks.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/peer/PeerLinks.java
@@ -23,6 +23,7 @@
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.node.NodeInput;
 import org.verbenamast.node.loop.NodeLoop;
+import org.verbenamast.wire.Opening;
 
 /** The links on which this node sends to other members. */
 public final class PeerLinks implements AutoCloseable {
@@ -178,8 +179,9 @@
         return socketSettings;
     }
 
-    Address listensAt() {
-        return listensAt;
+    Opening openingTo(MemberId member) {
+        boolean seed = member.incarnation() == SEED_INCARNATION;
+        return new Opening(listensAt, seed ? MemberId.NONE : member);
     }
 
     MemberId self() {
--- a/verbenamast-node/src/main/java/org/verbenamast/node/peer/PeerServer.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/peer/PeerServer.java
@@ -14,6 +14,7 @@
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.node.NodeInput;
 import org.verbenamast.wire.FrameCodec;
+import org.verbenamast.wire.Opening;
 import org.verbenamast.wire.PeerCodec;
 import org.verbenamast.wire.WireException;
 import org.verbenamast.wire.generated.Envelope;
@@ -24,6 +25,7 @@
     private final SimpleServer server;
     private final PeerObserver observer;
     private final BiConsumer<MemberId, Address> announced;
+    private final MemberId self;
     private final int maxFrameBytes;
     private final Set<ITcpSocket> sockets = new HashSet<>();
 
@@ -31,6 +33,7 @@
      * Makes a server that does not listen yet.
      *
      * @param eventloop the one event loop of the process
+     * @param self this member
      * @param address where to listen
      * @param maxFrameBytes the longest frame that is read, in bytes
      * @param observer takes the messages
@@ -38,12 +41,14 @@
      */
     public PeerServer(
             Eventloop eventloop,
+            MemberId self,
             Address address,
             int maxFrameBytes,
             PeerObserver observer,
             BiConsumer<MemberId, Address> announced) {
         this.observer = Objects.requireNonNull(observer, "observer");
         this.announced = Objects.requireNonNull(announced, "announced");
+        this.self = Objects.requireNonNull(self, "self");
         this.maxFrameBytes = maxFrameBytes;
         this.server = SimpleServer.builder(eventloop, this::accepted)
                 .withListenAddress(PeerLinks.socketAddress(address))
@@ -93,22 +98,34 @@
         } finally {
             buf.recycle();
         }
-        for (Envelope envelope = codec.next(); envelope != null; envelope = codec.next()) {
-            take(envelope);
+        boolean open = true;
+        for (Envelope envelope = codec.next(); open && envelope != null; envelope = codec.next()) {
+            open = take(envelope);
         }
-        return true;
+        return open;
     }
 
-    private void take(Envelope envelope) {
+    private boolean take(Envelope envelope) {
         try {
             PeerCodec.Received received = PeerCodec.decode(envelope);
-            received.peer().ifPresent(peer -> announced.accept(received.from(), peer));
+            if (received.opening().isPresent()) {
+                open(received.from(), received.opening().get());
+            }
             observer.happened(new NodeInput.PeerReceived(received.from(), received.message()));
+            return true;
         } catch (WireException e) {
             observer.refused(e.fault(), e.getMessage());
+            return !e.fault().endsLink();
         }
     }
 
+    private void open(MemberId from, Opening opening) throws WireException {
+        if (!opening.isFor(self)) {
+            throw WireException.shouldBeMeantFor(opening.to(), self);
+        }
+        announced.accept(from, opening.peer());
+    }
+
     @Override
     public void close() {
         server.close();
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerCodec.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerCodec.java
@@ -18,10 +18,10 @@
      * A message with its sender.
      *
      * @param from the sender
-     * @param peer where the sender listens, if the message tells
+     * @param opening what the first message of a connection tells, if this is one
      * @param message the message
      */
-    public record Received(MemberId from, Optional<Address> peer, PeerMessage message) {}
+    public record Received(MemberId from, Optional<Opening> opening, PeerMessage message) {}
 
     /**
      * Writes a message.
@@ -37,15 +37,20 @@
     }
 
     /**
-     * Writes the first message of a connection, which tells where the sender listens.
+     * Writes the first message of a connection.
      *
      * @param from the sender
-     * @param peer where the sender listens for other members
+     * @param opening where the sender listens and for whom the connection is meant
      * @param message the message
      * @return the protobuf message
      */
-    public static Envelope encodeFirst(MemberId from, Address peer, PeerMessage message) {
-        return encode(from, message).toBuilder().setPeer(peer.toString()).build();
+    public static Envelope encodeFirst(MemberId from, Opening opening, PeerMessage message) {
+        Envelope.Builder envelope = encode(from, message).toBuilder();
+        envelope.setPeer(opening.peer().toString());
+        if (!opening.to().isNone()) {
+            envelope.setTo(ModelCodec.encode(opening.to()));
+        }
+        return envelope.build();
     }
 
     /**
@@ -60,15 +65,18 @@
             throw WireException.shouldHaveSender();
         }
         try {
-            return new Received(ModelCodec.decode(envelope.getFrom()), decodePeer(envelope), decodeKind(envelope));
+            return new Received(ModelCodec.decode(envelope.getFrom()), decodeOpening(envelope), decodeKind(envelope));
         } catch (RuntimeException e) {
             throw WireException.shouldHoldValidValues(e);
         }
     }
 
-    private static Optional<Address> decodePeer(Envelope envelope) {
-        String peer = envelope.getPeer();
-        return peer.isEmpty() ? Optional.empty() : Optional.of(Address.parse(peer));
+    private static Optional<Opening> decodeOpening(Envelope envelope) {
+        if (envelope.getPeer().isEmpty()) {
+            return Optional.empty();
+        }
+        MemberId to = envelope.hasTo() ? ModelCodec.decode(envelope.getTo()) : MemberId.NONE;
+        return Optional.of(new Opening(Address.parse(envelope.getPeer()), to));
     }
 
     private static PeerMessage decodeKind(Envelope envelope) throws WireException {
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/WireException.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/WireException.java
@@ -1,5 +1,7 @@
 package org.verbenamast.wire;
 
+import org.verbenamast.core.model.MemberId;
+
 /** Bytes from outside can't be read as what they should be. */
 public final class WireException extends Exception {
 
@@ -23,6 +25,18 @@
         return new WireException(WireFault.UNKNOWN_KIND, "the message should be of a known kind");
     }
 
+    /**
+     * Makes the failure for a connection that is meant for another member.
+     *
+     * @param wanted the member that it is meant for
+     * @param self the member that accepted it
+     * @return the failure
+     */
+    public static WireException shouldBeMeantFor(MemberId wanted, MemberId self) {
+        String message = "the connection should be meant for <%s> but is meant for <%s>".formatted(self, wanted);
+        return new WireException(WireFault.MISADDRESSED, message);
+    }
+
     static WireException shouldHaveSender() {
         return new WireException(WireFault.MALFORMED, "the message should name its sender");
     }
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/WireFault.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/WireFault.java
@@ -8,6 +8,8 @@
     MALFORMED(false),
     /** A row that can't be read; it is skipped. */
     UNREADABLE_ROW(false),
+    /** A connection that is meant for another member, such as an earlier run of this node. */
+    MISADDRESSED(true),
     /** A frame that can't be read; nothing behind it can be trusted. */
     BROKEN_FRAME(true);
 
