Core: the desks and the messages of a node apart from its inputs; tests follow the store's retries

Change: NodeDesks holds the desks and the rows that they share, NodeMessages hands messages between members to them, NodeCore takes inputs and returns effects. Two test harnesses made a StoreDesk without the retries that it has now.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeCore.java
@@ -5,40 +5,23 @@
 import java.util.Deque;
 import java.util.List;
 
-import org.verbenamast.core.assign.AssignmentPolicy;
 import org.verbenamast.core.effect.Effect;
 import org.verbenamast.core.gate.ServeDesk;
 import org.verbenamast.core.gate.ServerReply;
-import org.verbenamast.core.gate.crash.SuspectDesk;
 import org.verbenamast.core.lease.LeaseDesk;
 import org.verbenamast.core.membership.Directory;
 import org.verbenamast.core.membership.MemberDesk;
-import org.verbenamast.core.membership.MemberRow;
-import org.verbenamast.core.membership.MemberTag;
-import org.verbenamast.core.membership.ReadingDesk;
 import org.verbenamast.core.membership.ServerAnnouncement;
-import org.verbenamast.core.membership.SpreadDesk;
 import org.verbenamast.core.message.PeerMessage;
-import org.verbenamast.core.message.PeerMessageHandler;
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.model.RequestId;
 import org.verbenamast.core.ownership.OwnershipDesk;
-import org.verbenamast.core.ownership.OwnershipRules;
-import org.verbenamast.core.request.DirectoryRouter;
 import org.verbenamast.core.request.EntryDesk;
-import org.verbenamast.core.request.RoutePolicy;
-import org.verbenamast.core.store.Row;
-import org.verbenamast.core.store.StoreDesk;
 import org.verbenamast.core.store.StoreReply;
 import org.verbenamast.core.store.StoreRequest;
-import org.verbenamast.core.store.StoreRetries;
 import org.verbenamast.core.table.ChangeCommand;
-import org.verbenamast.core.table.CommandDesk;
-import org.verbenamast.core.table.FleetView;
 import org.verbenamast.core.table.MarkDesk;
 import org.verbenamast.core.table.MarkRow;
-import org.verbenamast.core.table.ServerName;
-import org.verbenamast.core.table.TableScope;
 import org.verbenamast.core.trace.DecisionLog;
 
 /**
@@ -49,24 +32,14 @@
  * List<Effect> effects = node.handle(new NodeInput.StopRequested(), now);
  * }</pre>
  */
-public final class NodeCore implements PeerMessageHandler, RowSink {
+public final class NodeCore {
 
     private static final int DECISIONS_KEPT = 4_096;
 
     private final CoreSettings settings;
     private final DecisionLog decisions = new DecisionLog(DECISIONS_KEPT);
-    private final Directory directory;
-    private final StoreDesk store;
-    private final MemberDesk member;
-    private final SpreadDesk spread;
-    private final LeaseDesk lease;
-    private final ReadingDesk reading;
-    private final OwnershipDesk ownership;
-    private final EntryDesk entries;
-    private final ServeDesk serving;
-    private final SuspectDesk suspects;
-    private final CommandDesk commands;
-    private final MarkDesk marks;
+    private final NodeDesks desks;
+    private final NodeMessages messages;
     private final Deque<NodeInput> toSelf = new ArrayDeque<>();
     private List<Effect> effects = new ArrayList<>();
     private long expectedBy = Long.MAX_VALUE;
@@ -78,22 +51,8 @@
      */
     public NodeCore(CoreSettings settings) {
         this.settings = settings;
-        this.directory = new Directory(settings.services());
-        this.store = new StoreDesk(
-                new StoreRetries(Timing.nanos(settings.timing().storeTimeoutMillis()), settings.seed()), decisions);
-        this.member = new MemberDesk(settings, directory, store, this, decisions);
-        this.lease = new LeaseDesk(settings, directory, store, this, decisions);
-        this.reading = new ReadingDesk(settings, directory, store, this, decisions);
-        OwnershipRules rules = new OwnershipRules(AssignmentPolicy.BALANCED, directory::weightOf);
-        this.ownership = new OwnershipDesk(settings, directory, store, rules, this::mayServe, this, decisions);
-        this.spread = new SpreadDesk(settings, directory, ownership::rate);
-        this.suspects = new SuspectDesk(settings.self(), directory, decisions);
-        DirectoryRouter router = new DirectoryRouter(settings, directory, suspects, RoutePolicy.DEFAULT, decisions);
-        this.entries = new EntryDesk(settings, router, decisions);
-        this.serving = new ServeDesk(settings, member, ownership, suspects, decisions);
-        FleetView fleet = new FleetView(directory, settings.services(), settings.zones(), this::running);
-        this.commands = new CommandDesk(settings.operators(), directory, fleet, store, this, decisions);
-        this.marks = new MarkDesk(settings, directory, fleet, store, this, decisions);
+        this.desks = new NodeDesks(settings, decisions, this::emit);
+        this.messages = new NodeMessages(desks, this::emit);
     }
 
     /**
@@ -107,7 +66,7 @@
         effects = new ArrayList<>();
         notePause(now);
         input.deliver(this, now);
-        advance(now);
+        desks.advance(now);
         while (!toSelf.isEmpty()) {
             toSelf.poll().deliver(this, now);
         }
@@ -117,32 +76,10 @@
 
     private void notePause(long now) {
         if (expectedBy < now - Timing.nanos(settings.timing().pauseMillis())) {
-            lease.paused(now, this::emit);
+            desks.lease().paused(now, this::emit);
         }
     }
 
-    private boolean mayServe(long now) {
-        return member.is(MemberTag.JOINED) && lease.holds(now);
-    }
-
-    private void advance(long now) {
-        store.advance(now, this::emit);
-        member.advance(now, this::emit);
-        reading.advance(now, this::emit);
-        spread.advance(now, this::emit);
-        ownership.advance(now, this::emit);
-        entries.advance(now, this::emit);
-        serving.advance(now, this::emit);
-        suspects.advance(now, this::emit);
-        commands.advance(now, this::emit);
-        marks.advance(now, this::emit);
-        if (member.is(MemberTag.STOPPING) && ownership.owned() == 0 && serving.open() == 0 && entries.open() == 0) {
-            lease.leave(now, this::emit);
-            member.emptied(now, this::emit);
-        }
-        lease.advance(now, this::emit);
-    }
-
     private void emit(Effect effect) {
         if (effect instanceof Effect.SendToPeer send && send.to().equals(settings.self())) {
             toSelf.add(new NodeInput.PeerReceived(settings.self(), send.message()));
@@ -157,11 +94,7 @@
      * @return the monotonic time, in nanoseconds
      */
     public long nextDue() {
-        long due = Math.min(store.nextDue(), Math.min(member.nextDue(), spread.nextDue()));
-        due = Math.min(due, Math.min(reading.nextDue(), suspects.nextDue()));
-        due = Math.min(due, Math.min(commands.nextDue(), marks.nextDue()));
-        due = Math.min(due, lease.nextDue());
-        return Math.min(due, Math.min(ownership.nextDue(), Math.min(entries.nextDue(), serving.nextDue())));
+        return desks.nextDue();
     }
 
     /**
@@ -170,7 +103,16 @@
      * @return the directory
      */
     public Directory directory() {
-        return directory;
+        return desks.directory();
+    }
+
+    /**
+     * Returns what takes rows that are read or written outside the node's own calls.
+     *
+     * @return the sink
+     */
+    public RowSink rows() {
+        return desks;
     }
 
     /**
@@ -188,7 +130,7 @@
      * @return the desk that keeps it
      */
     public MemberDesk member() {
-        return member;
+        return desks.member();
     }
 
     /**
@@ -197,7 +139,7 @@
      * @return the desk that keeps them
      */
     public LeaseDesk lease() {
-        return lease;
+        return desks.lease();
     }
 
     /**
@@ -206,16 +148,16 @@
      * @return the desk that keeps them
      */
     public OwnershipDesk ownership() {
-        return ownership;
+        return desks.ownership();
     }
 
     /**
-     * Returns the operators' marks.
+     * Returns the operators' desks.marks().
      *
      * @return the desk that keeps them
      */
     public MarkDesk marks() {
-        return marks;
+        return desks.marks();
     }
 
     /**
@@ -224,7 +166,7 @@
      * @return the desk that keeps them
      */
     public ServeDesk serving() {
-        return serving;
+        return desks.serving();
     }
 
     /**
@@ -233,188 +175,58 @@
      * @return the desk that keeps them
      */
     public EntryDesk entries() {
-        return entries;
+        return desks.entries();
     }
 
-    @Override
-    public void wrote(Row row, long now, org.verbenamast.core.effect.Effects out) {
-        if (learn(row, now)) {
-            spread.learnt(row, now);
-        }
-        if (row.key().equals(MemberRow.keyOf(settings.self()))) {
-            reading.joined(now, this::emit);
-        }
-    }
-
-    @Override
-    public void read(Row row, long now, org.verbenamast.core.effect.Effects out) {
-        if (learn(row, now)) {
-            spread.found(row, now);
-        }
-    }
-
-    private boolean learn(Row row, long now) {
-        boolean newcomer = row.value() instanceof MemberRow member
-                && !member.status().over()
-                && directory.member(member.id()) == null;
-        if (!directory.learn(row)) {
-            return false;
-        }
-        if (newcomer) {
-            suspects.learnt(((MemberRow) row.value()).id(), now, this::emit);
-        }
-        marks.learnt(row, now, this::emit);
-        member.learnt(row, now, this::emit);
-        lease.learnt(row, now, this::emit);
-        ownership.learnt(row, now, this::emit);
-        serving.runs().learnt(row, now, this::emit);
-        return true;
+    void onPeerReceived(MemberId from, PeerMessage message, long now) {
+        message.deliver(messages, from, now);
     }
 
     void onNotSent(MemberId to, PeerMessage message, long now) {
         if (message instanceof PeerMessage.Forward forward) {
-            entries.notSent(to, forward, now, this::emit);
+            desks.entries().notSent(to, forward, now, this::emit);
         }
     }
 
     void onLinkLost(MemberId peer, long now) {
-        entries.linkLost(peer, now, this::emit);
+        desks.entries().linkLost(peer, now, this::emit);
     }
 
     void onCallerArrived(NodeInput.CallerArrived arrived, long now) {
-        entries.arrived(arrived.id(), arrived.request(), arrived.deadline(), now, this::emit);
+        desks.entries().arrived(arrived.id(), arrived.request(), arrived.deadline(), now, this::emit);
     }
 
     void onCallerGone(RequestId id, long now) {
-        entries.callerGone(id, now, this::emit);
+        desks.entries().callerGone(id, now, this::emit);
     }
 
     void onServerReplied(RequestId id, ServerReply reply, long now) {
-        serving.replied(id, reply, now, this::emit);
+        desks.serving().replied(id, reply, now, this::emit);
     }
 
     void onServerAnnounced(ServerAnnouncement announcement, long now) {
-        member.announced(announcement, now, this::emit);
-        serving.announced(announcement, now, this::emit);
+        desks.member().announced(announcement, now, this::emit);
+        desks.serving().announced(announcement, now, this::emit);
     }
 
     void onStoreReplied(long call, StoreReply reply, long now) {
-        store.replied(call, reply, now, this::emit);
-    }
-
-    private long running(TableScope scope) {
-        TableScope own =
-                TableScope.of(settings.service(), new ServerName(settings.self().node()));
-        boolean holdsOwn = scope.service().equals(settings.service())
-                && scope.zone().map(settings.zone()::equals).orElse(true)
-                && scope.server().map(own.server().orElseThrow()::equals).orElse(true);
-        return holdsOwn ? serving.running() : 0;
+        desks.store().replied(call, reply, now, this::emit);
     }
 
     void onChangeCommanded(long call, ChangeCommand command, long now) {
-        commands.submit(call, command, now, this::emit);
+        desks.commands().submit(call, command, now, this::emit);
     }
 
     void onMarkCommanded(long call, MarkRow mark, long now) {
-        marks.submit(call, mark, now, this::emit);
+        desks.marks().submit(call, mark, now, this::emit);
     }
 
     void onRowsAsked(long call, StoreRequest request, long now) {
-        store.submit(request, now, this::emit, (reply, at, out) -> out.emit(new Effect.ShowOperator(call, reply)));
-    }
-
-    @Override
-    public void onMarkPush(MemberId from, PeerMessage.MarkPush message, long now) {
-        marks.heard(message.mark(), now, this::emit);
+        desks.store()
+                .submit(request, now, this::emit, (reply, at, out) -> out.emit(new Effect.ShowOperator(call, reply)));
     }
 
     void onStopRequested(long now) {
-        member.stop(now, this::emit);
-    }
-
-    @Override
-    public void onForward(MemberId from, PeerMessage.Forward message, long now) {
-        serving.offered(from, message, now, this::emit);
-    }
-
-    @Override
-    public void onEnded(MemberId from, PeerMessage.Ended message, long now) {
-        entries.ended(from, message, now, this::emit);
-    }
-
-    @Override
-    public void onCancel(MemberId from, PeerMessage.Cancel message, long now) {
-        serving.cancelled(message.id(), message.attempt(), now, this::emit);
-    }
-
-    @Override
-    public void onVouch(MemberId from, PeerMessage.Vouch message, long now) {
-        lease.vouchAsked(from, message, now, this::emit);
-    }
-
-    @Override
-    public void onVouchReply(MemberId from, PeerMessage.VouchReply message, long now) {
-        lease.vouchReplied(from, message, now, this::emit);
-    }
-
-    @Override
-    public void onSeal(MemberId from, PeerMessage.Seal message, long now) {
-        lease.sealAsked(from, message, now, this::emit);
-    }
-
-    @Override
-    public void onSealReply(MemberId from, PeerMessage.SealReply message, long now) {
-        lease.sealReplied(from, message, now, this::emit);
-    }
-
-    @Override
-    public void onRowPush(MemberId from, PeerMessage.RowPush message, long now) {
-        message.rows().forEach(row -> pushed(from, row, now));
-    }
-
-    private void pushed(MemberId from, Row row, long now) {
-        if (learn(row, now)) {
-            spread.learnt(row, now);
-        } else {
-            spread.refused(from, row, this::emit);
-        }
-    }
-
-    @Override
-    public void onDigestOffer(MemberId from, PeerMessage.DigestOffer message, long now) {
-        if (message.buckets().size() == 1) {
-            ownership.heard(from, message.rate(), now);
-        }
-        spread.offered(from, message, this::emit);
-    }
-
-    @Override
-    public void onBucketVersions(MemberId from, PeerMessage.BucketVersions message, long now) {
-        spread.compared(from, message, now, this::emit);
-    }
-
-    @Override
-    public void onCrashNotice(MemberId from, PeerMessage.CrashNotice message, long now) {
-        suspects.heard(message, now, this::emit);
-    }
-
-    @Override
-    public void onCrashQuery(MemberId from, PeerMessage.CrashQuery message, long now) {
-        suspects.asked(from, this::emit);
-    }
-
-    @Override
-    public void onCrashHistory(MemberId from, PeerMessage.CrashHistory message, long now) {
-        suspects.answered(message, now, this::emit);
-    }
-
-    @Override
-    public void onRunRecords(MemberId from, PeerMessage.RunRecords message, long now) {
-        serving.runs().recordsCame(message, now, this::emit);
-    }
-
-    @Override
-    public void onRowRequest(MemberId from, PeerMessage.RowRequest message, long now) {
-        spread.requested(from, message, this::emit);
+        desks.member().stop(now, this::emit);
     }
 }
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeDesks.java
@@ -0,0 +1,192 @@
+package org.verbenamast.core.node;
+
+import java.util.Objects;
+
+import org.verbenamast.core.assign.AssignmentPolicy;
+import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.gate.ServeDesk;
+import org.verbenamast.core.gate.crash.SuspectDesk;
+import org.verbenamast.core.lease.LeaseDesk;
+import org.verbenamast.core.membership.Directory;
+import org.verbenamast.core.membership.MemberDesk;
+import org.verbenamast.core.membership.MemberRow;
+import org.verbenamast.core.membership.MemberTag;
+import org.verbenamast.core.membership.ReadingDesk;
+import org.verbenamast.core.membership.SpreadDesk;
+import org.verbenamast.core.ownership.OwnershipDesk;
+import org.verbenamast.core.ownership.OwnershipRules;
+import org.verbenamast.core.request.DirectoryRouter;
+import org.verbenamast.core.request.EntryDesk;
+import org.verbenamast.core.request.RoutePolicy;
+import org.verbenamast.core.store.Row;
+import org.verbenamast.core.store.StoreDesk;
+import org.verbenamast.core.store.StoreRetries;
+import org.verbenamast.core.table.CommandDesk;
+import org.verbenamast.core.table.FleetView;
+import org.verbenamast.core.table.MarkDesk;
+import org.verbenamast.core.table.ServerName;
+import org.verbenamast.core.table.TableScope;
+import org.verbenamast.core.trace.DecisionLog;
+
+/** All desks of a node, and the rows that they share. */
+final class NodeDesks implements RowSink {
+
+    private final CoreSettings settings;
+    private final Effects effects;
+    private final Directory directory;
+    private final StoreDesk store;
+    private final MemberDesk member;
+    private final SpreadDesk spread;
+    private final LeaseDesk lease;
+    private final ReadingDesk reading;
+    private final OwnershipDesk ownership;
+    private final EntryDesk entries;
+    private final ServeDesk serving;
+    private final SuspectDesk suspects;
+    private final CommandDesk commands;
+    private final MarkDesk marks;
+
+    NodeDesks(CoreSettings settings, DecisionLog decisions, Effects effects) {
+        this.settings = Objects.requireNonNull(settings, "settings");
+        this.effects = Objects.requireNonNull(effects, "effects");
+        this.directory = new Directory(settings.services());
+        this.store = new StoreDesk(
+                new StoreRetries(Timing.nanos(settings.timing().storeTimeoutMillis()), settings.seed()), decisions);
+        this.member = new MemberDesk(settings, directory, store, this, decisions);
+        this.lease = new LeaseDesk(settings, directory, store, this, decisions);
+        this.reading = new ReadingDesk(settings, directory, store, this, decisions);
+        OwnershipRules rules = new OwnershipRules(AssignmentPolicy.BALANCED, directory::weightOf);
+        this.ownership = new OwnershipDesk(settings, directory, store, rules, this::mayServe, this, decisions);
+        this.spread = new SpreadDesk(settings, directory, ownership::rate);
+        this.suspects = new SuspectDesk(settings.self(), directory, decisions);
+        DirectoryRouter router = new DirectoryRouter(settings, directory, suspects, RoutePolicy.DEFAULT, decisions);
+        this.entries = new EntryDesk(settings, router, decisions);
+        this.serving = new ServeDesk(settings, member, ownership, suspects, decisions);
+        FleetView fleet = new FleetView(directory, settings.services(), settings.zones(), this::running);
+        this.commands = new CommandDesk(settings.operators(), directory, fleet, store, this, decisions);
+        this.marks = new MarkDesk(settings, directory, fleet, store, this, decisions);
+    }
+
+    void advance(long now) {
+        store.advance(now, effects);
+        member.advance(now, effects);
+        reading.advance(now, effects);
+        spread.advance(now, effects);
+        ownership.advance(now, effects);
+        entries.advance(now, effects);
+        serving.advance(now, effects);
+        suspects.advance(now, effects);
+        commands.advance(now, effects);
+        marks.advance(now, effects);
+        if (member.is(MemberTag.STOPPING) && ownership.owned() == 0 && serving.open() == 0 && entries.open() == 0) {
+            lease.leave(now, effects);
+            member.emptied(now, effects);
+        }
+        lease.advance(now, effects);
+    }
+
+    /** Returns when a desk has something to do next, as a monotonic time in nanoseconds. */
+    long nextDue() {
+        long due = Math.min(store.nextDue(), Math.min(member.nextDue(), spread.nextDue()));
+        due = Math.min(due, Math.min(reading.nextDue(), suspects.nextDue()));
+        due = Math.min(due, Math.min(commands.nextDue(), marks.nextDue()));
+        due = Math.min(due, lease.nextDue());
+        return Math.min(due, Math.min(ownership.nextDue(), Math.min(entries.nextDue(), serving.nextDue())));
+    }
+
+    @Override
+    public void wrote(Row row, long now, Effects out) {
+        if (learn(row, now)) {
+            spread.learnt(row, now);
+        }
+        if (row.key().equals(MemberRow.keyOf(settings.self()))) {
+            reading.joined(now, effects);
+        }
+    }
+
+    @Override
+    public void read(Row row, long now, Effects out) {
+        if (learn(row, now)) {
+            spread.found(row, now);
+        }
+    }
+
+    boolean learn(Row row, long now) {
+        boolean newcomer = row.value() instanceof MemberRow member
+                && !member.status().over()
+                && directory.member(member.id()) == null;
+        if (!directory.learn(row)) {
+            return false;
+        }
+        if (newcomer) {
+            suspects.learnt(((MemberRow) row.value()).id(), now, effects);
+        }
+        marks.learnt(row, now, effects);
+        member.learnt(row, now, effects);
+        lease.learnt(row, now, effects);
+        ownership.learnt(row, now, effects);
+        serving.runs().learnt(row, now, effects);
+        return true;
+    }
+
+    private boolean mayServe(long now) {
+        return member.is(MemberTag.JOINED) && lease.holds(now);
+    }
+
+    private long running(TableScope scope) {
+        TableScope own =
+                TableScope.of(settings.service(), new ServerName(settings.self().node()));
+        boolean holdsOwn = scope.service().equals(settings.service())
+                && scope.zone().map(settings.zone()::equals).orElse(true)
+                && scope.server().map(own.server().orElseThrow()::equals).orElse(true);
+        return holdsOwn ? serving.running() : 0;
+    }
+
+    Directory directory() {
+        return directory;
+    }
+
+    StoreDesk store() {
+        return store;
+    }
+
+    MemberDesk member() {
+        return member;
+    }
+
+    SpreadDesk spread() {
+        return spread;
+    }
+
+    LeaseDesk lease() {
+        return lease;
+    }
+
+    ReadingDesk reading() {
+        return reading;
+    }
+
+    OwnershipDesk ownership() {
+        return ownership;
+    }
+
+    EntryDesk entries() {
+        return entries;
+    }
+
+    ServeDesk serving() {
+        return serving;
+    }
+
+    SuspectDesk suspects() {
+        return suspects;
+    }
+
+    CommandDesk commands() {
+        return commands;
+    }
+
+    MarkDesk marks() {
+        return marks;
+    }
+}
--- a/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeInput.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeInput.java
@@ -40,7 +40,7 @@
 
         @Override
         public void deliver(NodeCore node, long now) {
-            message.deliver(node, from, now);
+            node.onPeerReceived(from, message, now);
         }
     }
 
--- a/verbenamast-core/src/test/java/org/verbenamast/core/membership/JoinTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/membership/JoinTest.java
@@ -47,8 +47,8 @@
         joiner.handle(new NodeInput.StoreReplied(1, new StoreReply.RowsRead(List.of())), START);
         joiner.handle(new NodeInput.StoreReplied(2, new StoreReply.RowsRead(List.of())), START);
         Row own = Rows.memberRow(JOINER, MemberStatus.ACTIVE, 1);
-        joiner.wrote(own, START, effect -> {});
-        joiner.wrote(Rows.memberRow(JOINER, MemberStatus.LEAVING, 2), START, effect -> {});
+        joiner.rows().wrote(own, START, effect -> {});
+        joiner.rows().wrote(Rows.memberRow(JOINER, MemberStatus.LEAVING, 2), START, effect -> {});
         assertThat(joiner.decisions().find(decision -> decision.chart().equals("reading")))
                 .extracting("event")
                 .containsExactly("START", "TABLE_READ", "TABLE_READ", "JOINED");
--- a/verbenamast-core/src/test/java/org/verbenamast/core/ownership/OwnerNode.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/ownership/OwnerNode.java
@@ -13,6 +13,7 @@
 import org.verbenamast.core.node.Timing;
 import org.verbenamast.core.store.Row;
 import org.verbenamast.core.store.StoreDesk;
+import org.verbenamast.core.store.StoreRetries;
 
 /** The slices of one member, with its directory and its calls to the table service. */
 final class OwnerNode implements RowSink {
@@ -29,7 +30,9 @@
         this.fleet = fleet;
         CoreSettings settings = Rows.settings(id, service, List.of());
         this.directory = new Directory(List.of(service));
-        this.store = new StoreDesk(Timing.nanos(settings.timing().storeTimeoutMillis()), TransitionListener.NONE);
+        this.store = new StoreDesk(
+                new StoreRetries(Timing.nanos(settings.timing().storeTimeoutMillis()), settings.seed()),
+                TransitionListener.NONE);
         this.ownership =
                 new OwnershipDesk(settings, directory, store, rules, now -> alive, this, TransitionListener.NONE);
     }
--- a/verbenamast-core/src/test/java/org/verbenamast/core/table/Desks.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/table/Desks.java
@@ -22,6 +22,7 @@
 import org.verbenamast.core.store.Row;
 import org.verbenamast.core.store.StoreDesk;
 import org.verbenamast.core.store.StoreReply;
+import org.verbenamast.core.store.StoreRetries;
 
 /** The desks of one node for operators' commands, with what it sent and was not answered yet. */
 final class Desks implements RowSink {
@@ -40,7 +41,7 @@
     private long now;
 
     Desks(int number, TableUse use) {
-        this.store = new StoreDesk(Timing.nanos(1_000), TransitionListener.NONE);
+        this.store = new StoreDesk(new StoreRetries(Timing.nanos(1_000), number), TransitionListener.NONE);
         FleetView fleet = new FleetView(directory, List.of(STOCK), Set.of(JKT, BDG), use);
         MemberId self = new MemberId("node-" + number, 1);
         CoreSettings settings = new CoreSettings(
