Wire: one row that can't be read no longer holds the others back

Cause: a scan in which one row could not be read failed as a whole, so that no node could start; a push or a list of versions with one such row (or one of a table that only a newer node knows) was refused as a whole, again and again, with up to fifteen good rows in it.

Ruled out: leaving such rows out without a word (they would not be counted); an opaque row that is passed on unread (a node would vouch for what it can't check).

Change: rows and versions that can't be read are left out, each with its typed fault, which is counted (verbenamast_rows_refused_total{fault="unreadable"} for the table service, verbenamast_peer_refused_messages_total for nodes) and logged. Replies to transactions with such a row still fail as a whole, as a writer must not act on a part.

Conclusion: a bad row harms nothing but itself, and it is counted.

--- a/verbenamast-node/src/main/java/org/verbenamast/node/NodePeerObserver.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/NodePeerObserver.java
@@ -12,6 +12,7 @@
 import org.verbenamast.node.telemetry.NodeMetrics;
 import org.verbenamast.node.telemetry.Spans;
 import org.verbenamast.node.telemetry.Spans.HopKind;
+import org.verbenamast.wire.WireException;
 import org.verbenamast.wire.WireFault;
 
 /** Hands what happens on the links and at the backend server to the loop, with spans and metrics. */
@@ -61,6 +62,12 @@
         metrics.peerReceived(bytes);
     }
 
+    /** Counts a row of the table service that could not be read. */
+    void rowRefused(WireException fault) {
+        metrics.rowUnreadable();
+        LOG.warn("refused a row of the table service: {}", fault.getMessage());
+    }
+
     @Override
     public void refused(WireFault fault, String message) {
         metrics.messageRefused(fault);
--- a/verbenamast-node/src/main/java/org/verbenamast/node/NodeProcess.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/NodeProcess.java
@@ -67,7 +67,7 @@
         effects.connect(
                 callers,
                 peerLinks,
-                new PlatformClient(http, settings.platform(), loop::feed),
+                new PlatformClient(http, settings.platform(), loop::feed, observer::rowRefused),
                 new ServerClient(http, settings.limits().maxBodyBytes(), observer::happened));
     }
 
--- a/verbenamast-node/src/main/java/org/verbenamast/node/peer/PeerServer.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/peer/PeerServer.java
@@ -103,6 +103,7 @@
         try {
             PeerCodec.Received received = PeerCodec.decode(envelope);
             received.peer().ifPresent(peer -> announced.accept(received.from(), peer));
+            received.refused().forEach(e -> observer.refused(e.fault(), e.getMessage()));
             observer.happened(new NodeInput.PeerReceived(received.from(), received.message()));
         } catch (WireException e) {
             observer.refused(e.fault(), e.getMessage());
--- a/verbenamast-node/src/main/java/org/verbenamast/node/platform/PlatformClient.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/platform/PlatformClient.java
@@ -16,6 +16,7 @@
 import org.verbenamast.core.store.StoreFailure;
 import org.verbenamast.core.store.StoreReply;
 import org.verbenamast.core.store.StoreRequest;
+import org.verbenamast.wire.ReadRows;
 import org.verbenamast.wire.RowJson;
 import org.verbenamast.wire.WireException;
 
@@ -30,6 +31,7 @@
     private final HttpClient http;
     private final String base;
     private final Consumer<NodeInput> inputs;
+    private final Consumer<WireException> refused;
 
     /**
      * Makes a client.
@@ -37,11 +39,14 @@
      * @param http the HTTP client
      * @param platform where the table service listens
      * @param inputs takes the answers
+     * @param refused takes the faults of rows that can't be read
      */
-    public PlatformClient(HttpClient http, Address platform, Consumer<NodeInput> inputs) {
+    public PlatformClient(
+            HttpClient http, Address platform, Consumer<NodeInput> inputs, Consumer<WireException> refused) {
         this.http = Objects.requireNonNull(http, "http");
         this.base = "http://" + platform;
         this.inputs = Objects.requireNonNull(inputs, "inputs");
+        this.refused = Objects.requireNonNull(refused, "refused");
     }
 
     /**
@@ -70,7 +75,7 @@
                 .build();
     }
 
-    private static StoreReply replyOf(HttpResponse response, byte[] body) {
+    private StoreReply replyOf(HttpResponse response, byte[] body) {
         return switch (response.getCode()) {
             case OK, CONFLICT -> rowsOf(response, body);
             case TOO_MANY -> new StoreReply.Failed(StoreFailure.THROTTLED);
@@ -79,9 +84,15 @@
         };
     }
 
-    private static StoreReply rowsOf(HttpResponse response, byte[] body) {
+    private StoreReply rowsOf(HttpResponse response, byte[] body) {
         try {
-            List<Row> rows = RowJson.readReply(body);
+            ReadRows read = RowJson.readReply(body);
+            read.refused().forEach(refused);
+            List<Row> rows = read.rows();
+            boolean ofCommit = response.getCode() == CONFLICT || response.getHeader(PlatformHeaders.COMMITTED) != null;
+            if (ofCommit && !read.refused().isEmpty()) {
+                return new StoreReply.Failed(StoreFailure.UNREADABLE);
+            }
             if (response.getCode() == CONFLICT) {
                 return new StoreReply.Conflicted(rows);
             }
--- a/verbenamast-node/src/main/java/org/verbenamast/node/telemetry/NodeMetrics.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/telemetry/NodeMetrics.java
@@ -46,6 +46,8 @@
             .labelNames("fault")
             .register(registry);
 
+    private long unreadableRows;
+
     /**
      * Registers the gauges that read the decisions.
      *
@@ -64,12 +66,18 @@
         countRefusedRows(core.directory());
     }
 
+    /** Counts a row of the table service that could not be read. */
+    public void rowUnreadable() {
+        unreadableRows++;
+    }
+
     private void countRefusedRows(Directory directory) {
         CounterWithCallback.builder()
                 .name("verbenamast_rows_refused_total")
                 .help("Rows that were refused, by fault.")
                 .labelNames("fault")
                 .callback(callback -> {
+                    callback.call(unreadableRows, "unreadable");
                     for (RowFault fault : RowFault.values()) {
                         callback.call(directory.refused(fault), fault.name().toLowerCase(Locale.ROOT));
                     }
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerCodec.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerCodec.java
@@ -20,8 +20,15 @@
      * @param from the sender
      * @param peer where the sender listens, if the message tells
      * @param message the message
+     * @param refused the faults of rows that can't be read and were left out
      */
-    public record Received(MemberId from, Optional<Address> peer, PeerMessage message) {}
+    public record Received(MemberId from, Optional<Address> peer, PeerMessage message, List<WireException> refused) {
+
+        /** Copies the list. */
+        public Received {
+            refused = List.copyOf(refused);
+        }
+    }
 
     /**
      * Writes a message.
@@ -60,7 +67,9 @@
             throw WireException.shouldHaveSender();
         }
         try {
-            return new Received(ModelCodec.decode(envelope.getFrom()), decodePeer(envelope), decodeKind(envelope));
+            List<WireException> refused = new ArrayList<>();
+            PeerMessage message = decodeKind(envelope, refused);
+            return new Received(ModelCodec.decode(envelope.getFrom()), decodePeer(envelope), message, refused);
         } catch (RuntimeException e) {
             throw WireException.shouldHoldValidValues(e);
         }
@@ -71,7 +80,7 @@
         return peer.isEmpty() ? Optional.empty() : Optional.of(Address.parse(peer));
     }
 
-    private static PeerMessage decodeKind(Envelope envelope) throws WireException {
+    private static PeerMessage decodeKind(Envelope envelope, List<WireException> refused) throws WireException {
         return switch (envelope.getKindCase()) {
             case FORWARD -> RequestCodec.decode(envelope.getForward());
             case ENDED -> RequestCodec.decode(envelope.getEnded());
@@ -96,12 +105,12 @@
                         ModelCodec.decode(envelope.getSealReply().getHolder()),
                         envelope.getSealReply().getSealed(),
                         envelope.getSealReply().getRemainingNanos());
-            case ROW_PUSH -> RowCodec.decode(envelope.getRowPush());
+            case ROW_PUSH -> RowCodec.decode(envelope.getRowPush(), refused);
             case DIGEST_OFFER ->
                 new PeerMessage.DigestOffer(
                         envelope.getDigestOffer().getBucketsList(),
                         envelope.getDigestOffer().getRate());
-            case BUCKET_VERSIONS -> RowCodec.decode(envelope.getBucketVersions());
+            case BUCKET_VERSIONS -> RowCodec.decode(envelope.getBucketVersions(), refused);
             case ROW_REQUEST -> RowCodec.decode(envelope.getRowRequest());
             case RUN_RECORDS -> RunCodec.decode(envelope.getRunRecords());
             case CRASH_NOTICE -> CrashCodec.decode(envelope.getCrashNotice());
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/RowCodec.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/RowCodec.java
@@ -24,27 +24,45 @@
         return builder.build();
     }
 
-    static PeerMessage.RowPush decode(RowPush push) throws WireException {
+    /** Reads rows; those that can't be read are left out and their faults noted. */
+    static PeerMessage.RowPush decode(RowPush push, List<WireException> refused) {
         List<Row> rows = new ArrayList<>();
         for (org.verbenamast.wire.generated.Row row : push.getRowsList()) {
-            rows.add(RowJson.read(
-                    row.getKey().getTable(),
-                    row.getKey().getId(),
-                    row.getVersion(),
-                    row.getValue().toByteArray()));
+            try {
+                rows.add(decode(row));
+            } catch (WireException e) {
+                refused.add(e);
+            }
         }
         return new PeerMessage.RowPush(rows);
     }
 
+    private static Row decode(org.verbenamast.wire.generated.Row row) throws WireException {
+        return RowJson.read(
+                row.getKey().getTable(),
+                row.getKey().getId(),
+                row.getVersion(),
+                row.getValue().toByteArray());
+    }
+
     static BucketVersions encode(PeerMessage.BucketVersions message) {
         BucketVersions.Builder builder = BucketVersions.newBuilder().addAllBuckets(message.buckets());
         message.versions().forEach(version -> builder.addVersions(encode(version)));
         return builder.build();
     }
 
-    static PeerMessage.BucketVersions decode(BucketVersions message) {
-        List<RowVersion> versions = PeerCodec.map(
-                message.getVersionsList(), version -> new RowVersion(decode(version.getKey()), version.getVersion()));
+    /** Reads versions; those of tables that this node does not know are left out and noted as faults. */
+    static PeerMessage.BucketVersions decode(BucketVersions message, List<WireException> refused) {
+        List<RowVersion> versions = new ArrayList<>();
+        for (org.verbenamast.wire.generated.RowVersion version : message.getVersionsList()) {
+            try {
+                versions.add(new RowVersion(decode(version.getKey()), version.getVersion()));
+            } catch (IllegalArgumentException e) {
+                String key =
+                        version.getKey().getTable() + "/" + version.getKey().getId();
+                refused.add(WireException.shouldBeReadableRow(key, e.getMessage()));
+            }
+        }
         return new PeerMessage.BucketVersions(message.getBucketsList(), versions);
     }
 
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/RowJson.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/RowJson.java
@@ -94,10 +94,10 @@
      * Reads the rows of a reply of the table service.
      *
      * @param json the JSON
-     * @return the rows
-     * @throws WireException where the reply or one of its rows can't be read
+     * @return the rows, with the faults of those that can't be read
+     * @throws WireException where the reply itself can't be read
      */
-    public static List<Row> readReply(byte[] json) throws WireException {
+    public static ReadRows readReply(byte[] json) throws WireException {
         RowsJson reply;
         try {
             reply = MAPPER.readValue(json, RowsJson.class);
@@ -105,14 +105,20 @@
             throw WireException.shouldBeReadableRow("reply", e.getMessage());
         }
         List<Row> rows = new ArrayList<>();
+        List<WireException> refused = new ArrayList<>();
         for (RowItem item : reply.rows()) {
-            rows.add(read(
-                    item.table(),
-                    item.id(),
-                    item.version(),
-                    item.value().toString().getBytes(UTF_8)));
+            try {
+                rows.add(read(item));
+            } catch (WireException e) {
+                refused.add(e);
+            }
         }
-        return rows;
+        return new ReadRows(rows, refused);
+    }
+
+    private static Row read(RowItem item) throws WireException {
+        byte[] value = String.valueOf(item.value()).getBytes(UTF_8);
+        return read(item.table(), item.id(), item.version(), value);
     }
 
     private static final java.nio.charset.Charset UTF_8 = java.nio.charset.StandardCharsets.UTF_8;
