--- a/verbenamast-core/src/main/java/org/verbenamast/core/membership/ReadingGuard.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/membership/ReadingGuard.java
@@ -9,7 +9,7 @@
     TABLES_LEFT {
         @Override
         public boolean permits(ReadingData data, ReadingInput input, long now) {
-            return data.table().ordinal() < TableName.values().length - 1;
+            return TableName.values()[data.table().ordinal() + 1].spread();
         }
     },
     /** All tables are to be read once more. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeCore.java
@@ -5,10 +5,12 @@
 import java.util.Deque;
 import java.util.List;
 
+import org.verbenamast.core.assign.AssignmentPolicy;
 import org.verbenamast.core.effect.Effect;
 import org.verbenamast.core.gate.ServeDesk;
 import org.verbenamast.core.gate.ServerReply;
 import org.verbenamast.core.gate.crash.SuspectDesk;
+import org.verbenamast.core.lease.LeaseDesk;
 import org.verbenamast.core.membership.Directory;
 import org.verbenamast.core.membership.MemberDesk;
 import org.verbenamast.core.membership.MemberRow;
@@ -28,6 +30,15 @@
 import org.verbenamast.core.store.Row;
 import org.verbenamast.core.store.StoreDesk;
 import org.verbenamast.core.store.StoreReply;
+import org.verbenamast.core.store.StoreRequest;
+import org.verbenamast.core.store.StoreRetries;
+import org.verbenamast.core.table.ChangeCommand;
+import org.verbenamast.core.table.CommandDesk;
+import org.verbenamast.core.table.FleetView;
+import org.verbenamast.core.table.MarkDesk;
+import org.verbenamast.core.table.MarkRow;
+import org.verbenamast.core.table.ServerName;
+import org.verbenamast.core.table.TableScope;
 import org.verbenamast.core.trace.DecisionLog;
 
 /**
@@ -48,13 +59,17 @@
     private final StoreDesk store;
     private final MemberDesk member;
     private final SpreadDesk spread;
+    private final LeaseDesk lease;
     private final ReadingDesk reading;
     private final OwnershipDesk ownership;
     private final EntryDesk entries;
     private final ServeDesk serving;
     private final SuspectDesk suspects;
+    private final CommandDesk commands;
+    private final MarkDesk marks;
     private final Deque<NodeInput> toSelf = new ArrayDeque<>();
     private List<Effect> effects = new ArrayList<>();
+    private long expectedBy = Long.MAX_VALUE;
 
     /**
      * Makes the decisions of a node that has just started.
@@ -64,22 +79,21 @@
     public NodeCore(CoreSettings settings) {
         this.settings = settings;
         this.directory = new Directory(settings.services());
-        this.store = new StoreDesk(Timing.nanos(settings.timing().storeTimeoutMillis()), decisions);
+        this.store = new StoreDesk(
+                new StoreRetries(Timing.nanos(settings.timing().storeTimeoutMillis()), settings.seed()), decisions);
         this.member = new MemberDesk(settings, directory, store, this, decisions);
+        this.lease = new LeaseDesk(settings, directory, store, this, decisions);
         this.reading = new ReadingDesk(settings, directory, store, this, decisions);
-        this.ownership = new OwnershipDesk(
-                settings,
-                directory,
-                store,
-                OwnershipRules.DEFAULT,
-                now -> member.is(MemberTag.JOINED),
-                this,
-                decisions);
+        OwnershipRules rules = new OwnershipRules(AssignmentPolicy.BALANCED, directory::weightOf);
+        this.ownership = new OwnershipDesk(settings, directory, store, rules, this::mayServe, this, decisions);
         this.spread = new SpreadDesk(settings, directory, ownership::rate);
         this.suspects = new SuspectDesk(settings.self(), directory, decisions);
         DirectoryRouter router = new DirectoryRouter(settings, directory, suspects, RoutePolicy.DEFAULT, decisions);
         this.entries = new EntryDesk(settings, router, decisions);
         this.serving = new ServeDesk(settings, member, ownership, suspects, decisions);
+        FleetView fleet = new FleetView(directory, settings.services(), settings.zones(), this::running);
+        this.commands = new CommandDesk(settings.operators(), directory, fleet, store, this, decisions);
+        this.marks = new MarkDesk(settings, directory, fleet, store, this, decisions);
     }
 
     /**
@@ -91,14 +105,26 @@
      */
     public List<Effect> handle(NodeInput input, long now) {
         effects = new ArrayList<>();
+        notePause(now);
         input.deliver(this, now);
         advance(now);
         while (!toSelf.isEmpty()) {
             toSelf.poll().deliver(this, now);
         }
+        expectedBy = nextDue();
         return effects;
     }
 
+    private void notePause(long now) {
+        if (expectedBy < now - Timing.nanos(settings.timing().pauseMillis())) {
+            lease.paused(now, this::emit);
+        }
+    }
+
+    private boolean mayServe(long now) {
+        return member.is(MemberTag.JOINED) && lease.holds(now);
+    }
+
     private void advance(long now) {
         store.advance(now, this::emit);
         member.advance(now, this::emit);
@@ -108,9 +134,13 @@
         entries.advance(now, this::emit);
         serving.advance(now, this::emit);
         suspects.advance(now, this::emit);
+        commands.advance(now, this::emit);
+        marks.advance(now, this::emit);
         if (member.is(MemberTag.STOPPING) && ownership.owned() == 0 && serving.open() == 0 && entries.open() == 0) {
+            lease.leave(now, this::emit);
             member.emptied(now, this::emit);
         }
+        lease.advance(now, this::emit);
     }
 
     private void emit(Effect effect) {
@@ -129,6 +159,8 @@
     public long nextDue() {
         long due = Math.min(store.nextDue(), Math.min(member.nextDue(), spread.nextDue()));
         due = Math.min(due, Math.min(reading.nextDue(), suspects.nextDue()));
+        due = Math.min(due, Math.min(commands.nextDue(), marks.nextDue()));
+        due = Math.min(due, lease.nextDue());
         return Math.min(due, Math.min(ownership.nextDue(), Math.min(entries.nextDue(), serving.nextDue())));
     }
 
@@ -159,6 +191,15 @@
         return member;
     }
 
+    /**
+     * Returns the node's lease, its promises and its take-overs.
+     *
+     * @return the desk that keeps them
+     */
+    public LeaseDesk lease() {
+        return lease;
+    }
+
     /**
      * Returns the slices that the node owns.
      *
@@ -168,6 +209,15 @@
         return ownership;
     }
 
+    /**
+     * Returns the operators' marks.
+     *
+     * @return the desk that keeps them
+     */
+    public MarkDesk marks() {
+        return marks;
+    }
+
     /**
      * Returns the requests at the backend server beside the node.
      *
@@ -213,7 +263,9 @@
         if (newcomer) {
             suspects.learnt(((MemberRow) row.value()).id(), now, this::emit);
         }
+        marks.learnt(row, now, this::emit);
         member.learnt(row, now, this::emit);
+        lease.learnt(row, now, this::emit);
         ownership.learnt(row, now, this::emit);
         serving.runs().learnt(row, now, this::emit);
         return true;
@@ -250,6 +302,32 @@
         store.replied(call, reply, now, this::emit);
     }
 
+    private long running(TableScope scope) {
+        TableScope own =
+                TableScope.of(settings.service(), new ServerName(settings.self().node()));
+        boolean holdsOwn = scope.service().equals(settings.service())
+                && scope.zone().map(settings.zone()::equals).orElse(true)
+                && scope.server().map(own.server().orElseThrow()::equals).orElse(true);
+        return holdsOwn ? serving.running() : 0;
+    }
+
+    void onChangeCommanded(long call, ChangeCommand command, long now) {
+        commands.submit(call, command, now, this::emit);
+    }
+
+    void onMarkCommanded(long call, MarkRow mark, long now) {
+        marks.submit(call, mark, now, this::emit);
+    }
+
+    void onRowsAsked(long call, StoreRequest request, long now) {
+        store.submit(request, now, this::emit, (reply, at, out) -> out.emit(new Effect.ShowOperator(call, reply)));
+    }
+
+    @Override
+    public void onMarkPush(MemberId from, PeerMessage.MarkPush message, long now) {
+        marks.heard(message.mark(), now, this::emit);
+    }
+
     void onStopRequested(long now) {
         member.stop(now, this::emit);
     }
@@ -271,22 +349,22 @@
 
     @Override
     public void onVouch(MemberId from, PeerMessage.Vouch message, long now) {
-        // Leases are not decided here yet.
+        lease.vouchAsked(from, message, now, this::emit);
     }
 
     @Override
     public void onVouchReply(MemberId from, PeerMessage.VouchReply message, long now) {
-        // Leases are not decided here yet.
+        lease.vouchReplied(from, message, now, this::emit);
     }
 
     @Override
     public void onSeal(MemberId from, PeerMessage.Seal message, long now) {
-        // Leases are not decided here yet.
+        lease.sealAsked(from, message, now, this::emit);
     }
 
     @Override
     public void onSealReply(MemberId from, PeerMessage.SealReply message, long now) {
-        // Leases are not decided here yet.
+        lease.sealReplied(from, message, now, this::emit);
     }
 
     @Override
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/DirectoryRouter.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/DirectoryRouter.java
@@ -87,7 +87,9 @@
     private MemberId ownerOf(SliceId slice) {
         SliceGrant grant = directory.grant(slice);
         MemberRow owner = directory.member(grant.owner());
-        return owner == null || owner.status().over() ? MemberId.NONE : owner.id();
+        boolean serves =
+                owner != null && !owner.status().over() && !directory.marks().isClosed(owner);
+        return serves ? owner.id() : MemberId.NONE;
     }
 
     private MemberId anyOf(ServiceName service, EntryData data, long now) {
@@ -99,7 +101,7 @@
     private List<MemberId> candidates(ServiceName service, EntryData data) {
         List<MemberId> free = new ArrayList<>();
         for (MemberRow member : directory.activeMembers(service)) {
-            if (!data.at(member.id())) {
+            if (!data.at(member.id()) && takesWork(member)) {
                 free.add(member.id());
             }
         }
@@ -107,6 +109,10 @@
         return good.isEmpty() ? free : good;
     }
 
+    private boolean takesWork(MemberRow member) {
+        return !directory.marks().isOut(member) && directory.table().weights().of(member) > 0;
+    }
+
     @Override
     public boolean chooseHedge(EntryData data, long now) {
         if (suspects.sliceOf(data.request(), serviceOf(data)) != null) {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/store/StoreDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/store/StoreDesk.java
@@ -1,6 +1,9 @@
 package org.verbenamast.core.store;
 
+import java.util.Objects;
+
 import org.verbenamast.core.chart.Chart;
+import org.verbenamast.core.chart.Instance;
 import org.verbenamast.core.chart.NoTag;
 import org.verbenamast.core.chart.Population;
 import org.verbenamast.core.chart.TransitionListener;
@@ -8,7 +11,7 @@
 import org.verbenamast.core.chart.file.ChartReader;
 import org.verbenamast.core.effect.Effects;
 
-/** The calls to the table service that await an answer. */
+/** The calls to the table service that await an answer, with their retries. */
 public final class StoreDesk {
 
     /** The names that the chart file may use. */
@@ -16,23 +19,23 @@
             new Vocabulary<>(StoreEvent.class, StoreGuard.class, StoreAction.class, StoreTimer.class, NoTag.class);
 
     private final Population<Long, StoreEvent, StoreCall, StoreReply> calls;
-    private final long timeoutNanos;
-    private long lastNumber;
+    private final StoreRetries retries;
+    private long lastKey;
 
     /**
      * Makes a desk without calls.
      *
-     * @param timeoutNanos how long to wait for an answer, in nanoseconds
+     * @param retries decides on further attempts
      * @param listener is told of each transition
      */
-    public StoreDesk(long timeoutNanos, TransitionListener listener) {
+    public StoreDesk(StoreRetries retries, TransitionListener listener) {
         Chart<StoreEvent, StoreCall, StoreReply> chart = ChartReader.bundled("store-call", VOCABULARY);
         this.calls = new Population<>(chart, event -> new StoreReply.Failed(StoreFailure.NO_ANSWER), listener);
-        this.timeoutNanos = timeoutNanos;
+        this.retries = Objects.requireNonNull(retries, "retries");
     }
 
     /**
-     * Sends a request.
+     * Sends a request, and again where there is no usable answer.
      *
      * @param request the request
      * @param now the monotonic time, in nanoseconds
@@ -40,21 +43,43 @@
      * @param continuation what is done with the answer; called exactly once
      */
     public void submit(StoreRequest request, long now, Effects effects, StoreContinuation continuation) {
-        long number = ++lastNumber;
-        calls.begin(number, new StoreCall(number, request, timeoutNanos, continuation), now);
-        calls.fire(number, StoreEvent.START, new StoreReply.Failed(StoreFailure.NO_ANSWER), now, effects);
+        begin(request, StoreRetries.LAST_ATTEMPT, now, effects, continuation);
+    }
+
+    /**
+     * Sends a request once, for whoever has something better to do than to wait for another attempt.
+     *
+     * @param request the request
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     * @param continuation what is done with the answer; called exactly once
+     */
+    public void submitOnce(StoreRequest request, long now, Effects effects, StoreContinuation continuation) {
+        begin(request, 0, now, effects, continuation);
+    }
+
+    private void begin(
+            StoreRequest request, int lastAttempt, long now, Effects effects, StoreContinuation continuation) {
+        long key = ++lastKey;
+        retries.countCall();
+        calls.begin(key, StoreCall.first(key, request, lastAttempt, retries, continuation), now);
+        calls.fire(key, StoreEvent.START, new StoreReply.Failed(StoreFailure.NO_ANSWER), now, effects);
     }
 
     /**
-     * Takes an answer.
+     * Takes an answer. Answers to earlier attempts than the present one are ignored.
      *
-     * @param call the number of the call
+     * @param number the number of the attempt
      * @param reply the answer
      * @param now the monotonic time, in nanoseconds
      * @param effects the sink of the effects
      */
-    public void replied(long call, StoreReply reply, long now, Effects effects) {
-        calls.fire(call, StoreEvent.REPLIED, reply, now, effects);
+    public void replied(long number, StoreReply reply, long now, Effects effects) {
+        long key = StoreCall.keyOf(number);
+        Instance<StoreCall> call = calls.find(key);
+        if (call != null && call.data().number() == number) {
+            calls.fire(key, StoreEvent.REPLIED, reply, now, effects);
+        }
     }
 
     /**
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerCodec.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerCodec.java
@@ -18,11 +18,11 @@
      * A message with its sender.
      *
      * @param from the sender
-     * @param peer where the sender listens, if the message tells
+     * @param opening what the first message of a connection tells, if this is one
      * @param message the message
      * @param refused the faults of rows that can't be read and were left out
      */
-    public record Received(MemberId from, Optional<Address> peer, PeerMessage message, List<WireException> refused) {
+    public record Received(MemberId from, Optional<Opening> opening, PeerMessage message, List<WireException> refused) {
 
         /** Copies the list. */
         public Received {
@@ -44,15 +44,20 @@
     }
 
     /**
-     * Writes the first message of a connection, which tells where the sender listens.
+     * Writes the first message of a connection.
      *
      * @param from the sender
-     * @param peer where the sender listens for other members
+     * @param opening where the sender listens and for whom the connection is meant
      * @param message the message
      * @return the protobuf message
      */
-    public static Envelope encodeFirst(MemberId from, Address peer, PeerMessage message) {
-        return encode(from, message).toBuilder().setPeer(peer.toString()).build();
+    public static Envelope encodeFirst(MemberId from, Opening opening, PeerMessage message) {
+        Envelope.Builder envelope = encode(from, message).toBuilder();
+        envelope.setPeer(opening.peer().toString());
+        if (!opening.to().isNone()) {
+            envelope.setTo(ModelCodec.encode(opening.to()));
+        }
+        return envelope.build();
     }
 
     /**
@@ -69,15 +74,18 @@
         try {
             List<WireException> refused = new ArrayList<>();
             PeerMessage message = decodeKind(envelope, refused);
-            return new Received(ModelCodec.decode(envelope.getFrom()), decodePeer(envelope), message, refused);
+            return new Received(ModelCodec.decode(envelope.getFrom()), decodeOpening(envelope), message, refused);
         } catch (RuntimeException e) {
             throw WireException.shouldHoldValidValues(e);
         }
     }
 
-    private static Optional<Address> decodePeer(Envelope envelope) {
-        String peer = envelope.getPeer();
-        return peer.isEmpty() ? Optional.empty() : Optional.of(Address.parse(peer));
+    private static Optional<Opening> decodeOpening(Envelope envelope) {
+        if (envelope.getPeer().isEmpty()) {
+            return Optional.empty();
+        }
+        MemberId to = envelope.hasTo() ? ModelCodec.decode(envelope.getTo()) : MemberId.NONE;
+        return Optional.of(new Opening(Address.parse(envelope.getPeer()), to));
     }
 
     private static PeerMessage decodeKind(Envelope envelope, List<WireException> refused) throws WireException {
@@ -116,6 +124,7 @@
             case CRASH_NOTICE -> CrashCodec.decode(envelope.getCrashNotice());
             case CRASH_QUERY -> new PeerMessage.CrashQuery();
             case CRASH_HISTORY -> CrashCodec.decode(envelope.getCrashHistory());
+            case MARK_PUSH -> TableCodec.decode(envelope.getMarkPush());
             case KIND_NOT_SET -> throw WireException.shouldHaveKnownKind();
         };
     }
