--- a/verbenamast-node/src/main/java/org/verbenamast/node/NodeProcess.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/NodeProcess.java
@@ -69,7 +69,7 @@
                 callers,
                 operators,
                 peerLinks,
-                new PlatformClient(http, settings.platform(), loop::feed),
+                new PlatformClient(http, settings.platform(), loop::feed, observer::rowRefused),
                 new ServerClient(http, settings.limits().maxBodyBytes(), observer::happened));
     }
 
--- a/verbenamast-node/src/main/java/org/verbenamast/node/peer/PeerServer.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/peer/PeerServer.java
@@ -111,6 +111,7 @@
             if (received.opening().isPresent()) {
                 open(received.from(), received.opening().get());
             }
+            received.refused().forEach(e -> observer.refused(e.fault(), e.getMessage()));
             observer.happened(new NodeInput.PeerReceived(received.from(), received.message()));
             return true;
         } catch (WireException e) {
