--- a/verbenamast-core/src/main/java/org/verbenamast/core/chart/file/ChartReader.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/chart/file/ChartReader.java
@@ -60,6 +60,21 @@
         return read.getOrElseThrow(ChartException::new);
     }
 
+    /**
+     * Reads the file of a chart that ships with the program, without resolving its names.
+     *
+     * @param name the file's name below {@code charts/}, without its ending
+     * @return the file
+     * @throws ChartException where the file is missing or can't be read
+     */
+    public static ChartFile file(String name) {
+        try {
+            return MAPPER.readValue(textOf(name), ChartFile.class);
+        } catch (JsonProcessingException e) {
+            throw new ChartException(List.of(ChartFault.shouldBeReadable(name, e.getMessage())));
+        }
+    }
+
     private static String textOf(String name) {
         try (InputStream in = ChartReader.class.getResourceAsStream("/charts/" + name + ".json")) {
             if (in == null) {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/table/TableContent.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/table/TableContent.java
@@ -1,12 +1,11 @@
 package org.verbenamast.core.table;
 
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Collectors;
 
 /**
- * The rows of a table, in the order of their scopes.
+ * The rows of a table, in the order in which they were given.
  *
  * @param entries the rows
  */
@@ -15,10 +14,9 @@
     /** A table without rows. */
     public static final TableContent EMPTY = new TableContent(List.of());
 
-    /** Sorts and copies the rows. */
+    /** Copies the list. */
     public TableContent {
-        entries =
-                entries.stream().sorted(Comparator.comparing(TableEntry::scope)).toList();
+        entries = List.copyOf(entries);
     }
 
     /**
@@ -27,7 +25,7 @@
      * @return the hash
      */
     public ContentHash hash() {
-        return ContentHash.of(entries.stream().map(TableEntry::line).collect(Collectors.joining("\n")));
+        return ContentHash.of(entries.stream().map(TableEntry::line).sorted().collect(Collectors.joining("\n")));
     }
 
     /**
--- a/verbenamast-ctl/src/main/java/org/verbenamast/ctl/package-info.java
+++ b/verbenamast-ctl/src/main/java/org/verbenamast/ctl/package-info.java
@@ -1,2 +1,2 @@
-/** Part of verbenamast. */
+/** The operators' command line. */
 package org.verbenamast.ctl;
