--- a/verbenamast-core/src/main/java/org/verbenamast/core/message/PeerMessage.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/message/PeerMessage.java
@@ -4,8 +4,13 @@
 import java.util.Objects;
 
 import org.verbenamast.core.check.Checks;
+import org.verbenamast.core.gate.crash.CrashNews;
+import org.verbenamast.core.gate.crash.Fingerprint;
+import org.verbenamast.core.gate.crash.Suspicion;
+import org.verbenamast.core.gate.runs.KeptRun;
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.model.RequestId;
+import org.verbenamast.core.model.SliceId;
 import org.verbenamast.core.request.CallerRequest;
 import org.verbenamast.core.request.RequestOutcome;
 import org.verbenamast.core.store.Row;
@@ -46,17 +51,29 @@
      * Asks the receiver to have a request run by its backend server.
      *
      * @param id the request's identity
+     * @param attempt the number of this try of the request, from one
      * @param request the request
      * @param remainingNanos the time until the deadline, in nanoseconds
      */
-    record Forward(RequestId id, CallerRequest request, long remainingNanos) implements PeerMessage {
+    record Forward(RequestId id, int attempt, CallerRequest request, long remainingNanos) implements PeerMessage {
 
         /** Checks the parts. */
         public Forward {
             Objects.requireNonNull(id, "id");
+            Checks.positive("attempt", attempt);
             Objects.requireNonNull(request, "request");
         }
 
+        /**
+         * Returns this message with the request changed for the next hop.
+         *
+         * @param next the changed request
+         * @return the changed message
+         */
+        public Forward withRequest(CallerRequest next) {
+            return new Forward(id, attempt, next, remainingNanos);
+        }
+
         @Override
         public void deliver(PeerMessageHandler handler, MemberId from, long now) {
             handler.onForward(from, this, now);
@@ -67,13 +84,15 @@
      * Tells how a forwarded request ended.
      *
      * @param id the request's identity
+     * @param attempt the number of the try that ended
      * @param outcome how it ended
      */
-    record Ended(RequestId id, RequestOutcome outcome) implements PeerMessage {
+    record Ended(RequestId id, int attempt, RequestOutcome outcome) implements PeerMessage {
 
         /** Checks the parts. */
         public Ended {
             Objects.requireNonNull(id, "id");
+            Checks.positive("attempt", attempt);
             Objects.requireNonNull(outcome, "outcome");
         }
 
@@ -87,12 +106,14 @@
      * Tells that nobody waits for a forwarded request any more.
      *
      * @param id the request's identity
+     * @param attempt the number of the try that is given up
      */
-    record Cancel(RequestId id) implements PeerMessage {
+    record Cancel(RequestId id, int attempt) implements PeerMessage {
 
-        /** Checks the identity. */
+        /** Checks the parts. */
         public Cancel {
             Objects.requireNonNull(id, "id");
+            Checks.positive("attempt", attempt);
         }
 
         @Override
@@ -258,4 +279,81 @@
             handler.onRowRequest(from, this, now);
         }
     }
+
+    /**
+     * Passes the records of a slice's non-idempotent requests to its next owner, in parts.
+     *
+     * @param slice the slice
+     * @param epoch the next owner's epoch
+     * @param part the number of this part, from zero
+     * @param parts the number of parts
+     * @param runs the records in this part
+     */
+    record RunRecords(SliceId slice, long epoch, int part, int parts, List<KeptRun> runs) implements PeerMessage {
+
+        private static final int MAX_PARTS = 1 << 16;
+
+        /** Checks the numbers and copies the list. */
+        public RunRecords {
+            Objects.requireNonNull(slice, "slice");
+            Checks.positive("epoch", epoch);
+            Checks.within("parts", parts, 1, MAX_PARTS);
+            Checks.within("part", part, 0, parts - 1);
+            runs = List.copyOf(runs);
+        }
+
+        @Override
+        public void deliver(PeerMessageHandler handler, MemberId from, long now) {
+            handler.onRunRecords(from, this, now);
+        }
+    }
+
+    /**
+     * Tells what is held against requests that a backend server had when its connection broke.
+     *
+     * @param fingerprints the requests' fingerprints
+     * @param incident the id of the incident, or an empty text
+     * @param news what is told
+     */
+    record CrashNotice(List<Fingerprint> fingerprints, String incident, CrashNews news) implements PeerMessage {
+
+        /** Checks the parts and copies the list. */
+        public CrashNotice {
+            fingerprints = List.copyOf(fingerprints);
+            Objects.requireNonNull(incident, "incident");
+            Objects.requireNonNull(news, "news");
+        }
+
+        @Override
+        public void deliver(PeerMessageHandler handler, MemberId from, long now) {
+            handler.onCrashNotice(from, this, now);
+        }
+    }
+
+    /** Asks a member, after the start of a node, what it holds against requests. */
+    record CrashQuery() implements PeerMessage {
+
+        @Override
+        public void deliver(PeerMessageHandler handler, MemberId from, long now) {
+            handler.onCrashQuery(from, this, now);
+        }
+    }
+
+    /**
+     * Answers {@link CrashQuery}.
+     *
+     * @param suspicions all that the sender holds against requests
+     */
+    record CrashHistory(List<Suspicion> suspicions) implements PeerMessage {
+
+        /** Copies the list. */
+        public CrashHistory {
+            suspicions = List.copyOf(suspicions);
+        }
+
+        @Override
+        public void deliver(PeerMessageHandler handler, MemberId from, long now) {
+            handler.onCrashHistory(from, this, now);
+        }
+    }
 }
--- /dev/null
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/measure/RampMeasureTest.java
@@ -0,0 +1,56 @@
+package org.verbenamast.core.measure;
+
+import java.util.Locale;
+
+import org.junit.jupiter.api.Test;
+import org.verbenamast.core.gate.limit.RampSettings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RampMeasureTest {
+
+    private static final long NEVER_MILLIS = 1_000_000;
+    private static final long HALF_WAY_MILLIS = 10_000;
+    private static final int SLOTS = 10;
+
+    @Test
+    void should_never_load_a_cold_server_above_what_it_bears_when_it_announces_itself() {
+        RampBench.Result without = measure("first announced", RampSettings.NONE, NEVER_MILLIS, false);
+        RampBench.Result with = measure("first announced", RampSettings.DEFAULT, NEVER_MILLIS, false);
+        assertThat(without.peakOverBearing()).isPositive();
+        assertThat(with.peakOverBearing()).isZero();
+        assertThat(with.limitAtEnd()).isEqualTo(SLOTS);
+        assertThat(with.peak()).isLessThanOrEqualTo(SLOTS);
+    }
+
+    @Test
+    void should_give_a_server_no_more_than_a_cold_one_bears_when_it_starts_anew() {
+        RampBench.Result without = measure("new start id", RampSettings.NONE, HALF_WAY_MILLIS, true);
+        RampBench.Result with = measure("new start id", RampSettings.DEFAULT, HALF_WAY_MILLIS, true);
+        assertThat(with.startsOverBearing()).isZero();
+        assertThat(without.startsOverBearing()).isPositive();
+    }
+
+    @Test
+    void should_notice_soon_when_a_server_turns_cold_without_warning() {
+        RampBench.Result without = measure("without warning", RampSettings.NONE, HALF_WAY_MILLIS, false);
+        RampBench.Result with = measure("without warning", RampSettings.DEFAULT, HALF_WAY_MILLIS, false);
+        assertThat(with.startsOverBearing()).isLessThan(without.startsOverBearing());
+        assertThat(with.limitAtEnd()).isEqualTo(SLOTS);
+    }
+
+    private static RampBench.Result measure(String cause, RampSettings settings, long coldAgain, boolean restarts) {
+        RampBench.Result result = RampBench.measure(settings, coldAgain, restarts);
+        System.out.printf(
+                Locale.ROOT,
+                "cold (%s), %s: peak %d, most above what it bears %d, given while above %d, answered %d, limit %d%n",
+                cause,
+                settings == RampSettings.NONE ? "no ramp" : "ramp",
+                result.peak(),
+                result.peakOverBearing(),
+                result.startsOverBearing(),
+                result.answered(),
+                result.limitAtEnd());
+        return result;
+    }
+}
