--- a/verbenamast-core/src/main/java/org/verbenamast/core/membership/Directory.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/membership/Directory.java
@@ -18,6 +18,10 @@
 import org.verbenamast.core.ownership.SliceGrant;
 import org.verbenamast.core.store.Row;
 import org.verbenamast.core.store.RowKey;
+import org.verbenamast.core.table.MarkRow;
+import org.verbenamast.core.table.Marks;
+import org.verbenamast.core.table.TableIndex;
+import org.verbenamast.core.table.TableRow;
 
 /**
  * The rows of the table service that a node knows. A row is only ever replaced by a later version.
@@ -30,6 +34,8 @@
     private final Map<RowKey, Row> rows = new HashMap<>();
     private final Map<MemberId, MemberRow> members = new TreeMap<>();
     private final Map<ServiceName, ServiceSettings> services = new HashMap<>();
+    private final TableIndex table = new TableIndex();
+    private final Marks marks = new Marks();
     private final Map<MemberId, Integer> grantsOf = new HashMap<>();
     private final Map<ServiceName, List<MemberRow>> active = new HashMap<>();
     private final Map<RowFault, Long> refused = new EnumMap<>(RowFault.class);
@@ -82,6 +88,8 @@
         if (row.value() instanceof MemberRow member) {
             members.put(member.id(), member);
             forgetCached();
+        } else if (row.value() instanceof TableRow accepted && row.key().equals(TableRow.KEY)) {
+            table.learn(accepted);
         }
         if (counts(row)) {
             digest.add(row.key(), row.version());
@@ -186,6 +194,55 @@
         return living;
     }
 
+    /**
+     * Returns the services of the fleet.
+     *
+     * @return their settings
+     */
+    public Collection<ServiceSettings> services() {
+        return services.values();
+    }
+
+    /**
+     * Returns the operators' table in force.
+     *
+     * @return the weights and limits
+     */
+    public TableIndex table() {
+        return table;
+    }
+
+    /**
+     * Returns what operators have taken out of service.
+     *
+     * @return the marks
+     */
+    public Marks marks() {
+        return marks;
+    }
+
+    /**
+     * Takes an operator's mark, which the table service may not have yet.
+     *
+     * @param mark the mark
+     * @param closesAt the monotonic time at which what it takes out is given nothing more at all, in nanoseconds
+     */
+    public void mark(MarkRow mark, long closesAt) {
+        if (marks.learn(mark, closesAt)) {
+            revision++;
+        }
+    }
+
+    /**
+     * Tells how much work a member should take, by the operators' table and marks.
+     *
+     * @param member the member's row
+     * @return the weight, in ten-thousandths of the usual one; 0 where it is to be given no work
+     */
+    public int weightOf(MemberRow member) {
+        return marks.isOut(member) ? 0 : table.weights().of(member);
+    }
+
     /**
      * Finds a row.
      *
