--- a/verbenamast-core/src/main/java/org/verbenamast/core/ownership/SliceTimer.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/ownership/SliceTimer.java
@@ -43,5 +43,5 @@
         }
     };
 
-    private static final long REST_NANOS = Duration.ofSeconds(3).toNanos();
+    private static final long REST_NANOS = Duration.ofSeconds(5).toNanos();
 }
