--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/runs/RunAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/runs/RunAction.java
@@ -2,6 +2,8 @@
 
 import org.verbenamast.core.chart.Action;
 import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.request.RequestOutcome;
+import org.verbenamast.core.request.UnknownReason;
 
 /** The steps in the chart of a run's record. */
 public enum RunAction implements Action<RunData, RunInput> {
@@ -12,6 +14,14 @@
             return data.withOutcome(input.desk().keep(data.key(), input.outcome()));
         }
     },
+    /** Gives up the answer, but not that the request ran. */
+    DROP_ANSWER {
+        @Override
+        public RunData apply(RunData data, RunInput input, long now, Effects effects) {
+            input.desk().dropAnswer(data);
+            return data.withOutcome(new RequestOutcome.Unknown(UnknownReason.ANSWER_NOT_KEPT));
+        }
+    },
     /** Gives up the room that the record took. */
     DISCARD {
         @Override
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/runs/RunData.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/runs/RunData.java
@@ -2,7 +2,6 @@
 
 import java.util.Objects;
 
-import org.verbenamast.core.check.Checks;
 import org.verbenamast.core.model.RequestId;
 import org.verbenamast.core.request.RequestOutcome;
 
@@ -12,15 +11,15 @@
  * @param key what identifies the run
  * @param id the identity of the send that was given to the backend server
  * @param outcome how it ended, or null while the backend server has it
- * @param windowMillis how long after the run its request may be sent again, in milliseconds
+ * @param limits the bounds of the records
  */
-public record RunData(RunKey key, RequestId id, RequestOutcome outcome, long windowMillis) {
+public record RunData(RunKey key, RequestId id, RequestOutcome outcome, RunLimits limits) {
 
     /** Checks the parts. */
     public RunData {
         Objects.requireNonNull(key, "key");
         Objects.requireNonNull(id, "id");
-        Checks.positive("windowMillis", windowMillis);
+        Objects.requireNonNull(limits, "limits");
     }
 
     /**
@@ -30,6 +29,6 @@
      * @return the changed record
      */
     public RunData withOutcome(RequestOutcome next) {
-        return new RunData(key, id, next, windowMillis);
+        return new RunData(key, id, next, limits);
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/runs/RunDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/runs/RunDesk.java
@@ -121,7 +121,7 @@
      * @param now the monotonic time, in nanoseconds
      */
     public void begun(RunKey key, RequestId id, long now) {
-        runs.begin(key, new RunData(key, id, null, limits.windowMillis()), now);
+        runs.begin(key, new RunData(key, id, null, limits), now);
         if (key.resendable()) {
             bySlice.computeIfAbsent(key.slice(), slice -> new HashSet<>()).add(key);
         }
@@ -153,10 +153,14 @@
         return outcome;
     }
 
-    void discard(RunData run) {
+    void dropAnswer(RunData run) {
         if (run.outcome() instanceof RequestOutcome.Answered answered) {
             keptBytes -= answered.body().length();
         }
+    }
+
+    void discard(RunData run) {
+        dropAnswer(run);
         if (run.key().resendable()) {
             forget(run.key());
         } else if (run.outcome() != null) {
@@ -188,6 +192,15 @@
         }
     }
 
+    /**
+     * Forgets the requests of a member whose incarnation has ended.
+     *
+     * @param member the member
+     */
+    public void forget(MemberId member) {
+        forgotten.remove(member);
+    }
+
     private void follow(SliceId slice, SliceGrant grant, long now, Effects effects) {
         Instance<HistoryData> known = histories.find(slice);
         if (known != null && known.data().grant().epoch() != grant.epoch()) {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/runs/RunEvent.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/runs/RunEvent.java
@@ -4,6 +4,8 @@
 public enum RunEvent {
     /** The backend server is done with the request. */
     ENDED,
-    /** The request can't be sent again any more. */
-    WINDOW_OVER
+    /** The answer is not kept any longer. */
+    WINDOW_OVER,
+    /** The run is not remembered any longer. */
+    MEMORY_OVER
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/runs/RunTimer.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/runs/RunTimer.java
@@ -5,7 +5,7 @@
 
 /** The timers in the chart of a run's record. */
 public enum RunTimer implements TimerRule<RunEvent, RunData> {
-    /** Waits as long as the request may be sent again. */
+    /** Waits as long as the answer is kept. */
     WINDOW {
         @Override
         public RunEvent fires() {
@@ -14,7 +14,19 @@
 
         @Override
         public long delayNanos(RunData data, long now) {
-            return Timing.nanos(data.windowMillis());
+            return Timing.nanos(data.limits().windowMillis());
+        }
+    },
+    /** Waits as long as it is remembered that the request ran. */
+    MEMORY {
+        @Override
+        public RunEvent fires() {
+            return RunEvent.MEMORY_OVER;
+        }
+
+        @Override
+        public long delayNanos(RunData data, long now) {
+            return Timing.nanos(data.limits().memoryMillis());
         }
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeCore.java
@@ -213,6 +213,10 @@
         if (newcomer) {
             suspects.learnt(((MemberRow) row.value()).id(), now, this::emit);
         }
+        if (row.value() instanceof MemberRow known && known.status().over()) {
+            entries.forget(known.id(), now);
+            serving.runs().forget(known.id());
+        }
         member.learnt(row, now, this::emit);
         ownership.learnt(row, now, this::emit);
         serving.runs().learnt(row, now, this::emit);
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/DirectoryRouter.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/DirectoryRouter.java
@@ -168,6 +168,17 @@
                 || notRun.reason().blamesMember();
     }
 
+    /**
+     * Forgets a member whose incarnation has ended.
+     *
+     * @param member the member
+     * @param now the monotonic time, in nanoseconds
+     */
+    public void forget(MemberId member, long now) {
+        signals.forget(member);
+        health.saw(member, HealthEvent.ENDED, now);
+    }
+
     /**
      * Lists the requests that a member has from this node.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/EntryDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/EntryDesk.java
@@ -127,6 +127,16 @@
         }
     }
 
+    /**
+     * Forgets a member whose incarnation has ended.
+     *
+     * @param member the member
+     * @param now the monotonic time, in nanoseconds
+     */
+    public void forget(MemberId member, long now) {
+        router.forget(member, now);
+    }
+
     /**
      * Gives up a request whose caller is gone.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/peer/HealthEvent.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/peer/HealthEvent.java
@@ -9,5 +9,7 @@
     /** A request was sent to the member. */
     SENT,
     /** The pause is over. */
-    PAUSE_OVER
+    PAUSE_OVER,
+    /** The member's incarnation has ended. */
+    ENDED
 }
--- a/verbenamast-core/src/test/java/org/verbenamast/core/request/AtMostOnceTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/request/AtMostOnceTest.java
@@ -35,6 +35,14 @@
         });
     }
 
+    @Property(tries = 30, seed = "20261208")
+    void should_never_exceed_a_servers_limit_when_everything_fails(
+            @ForAll @LongRange(min = 0, max = 1 << 30) long seed) {
+        FaultyFleet fleet = new FaultyFleet(seed, ALL);
+        order(fleet);
+        assertThat(fleet.peak()).isBetween(1, FakeNode.SLOTS);
+    }
+
     @Property(tries = 60, seed = "20261205")
     void should_be_true_when_a_caller_is_told_not_run(@ForAll @LongRange(min = 0, max = 1 << 30) long seed) {
         // given
--- a/verbenamast-core/src/test/java/org/verbenamast/core/request/FakeNode.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/request/FakeNode.java
@@ -24,6 +24,7 @@
 /** A node's decisions with a backend server, links and a store that fail at random. */
 final class FakeNode {
 
+    static final int SLOTS = 4;
     static final String CRASHING = "/crash";
 
     private static final long READY_NANOS = Timing.nanos(1_200);
@@ -73,7 +74,7 @@
             down = false;
             Address server = new Address("127.0.0.1", 2);
             ServerAnnouncement announcement =
-                    new ServerAnnouncement(FaultyFleet.VISIT.name(), server, id + "/" + starts, 4, 0, false);
+                    new ServerAnnouncement(FaultyFleet.VISIT.name(), server, id + "/" + starts, SLOTS, 0, false);
             feed(new NodeInput.ServerAnnounced(announcement));
             fleet.after(ANNOUNCE_NANOS, this::announce);
         }
@@ -145,6 +146,7 @@
     private void callServer(Effect.CallServer call) {
         RequestId request = call.id();
         atServer.add(request);
+        fleet.atServer(atServer.size());
         int start = starts;
         if (down) {
             fleet.after(1, () -> replied(request, start, ServerReplyKind.UNREACHABLE, null));
--- a/verbenamast-core/src/test/java/org/verbenamast/core/request/FaultyFleet.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/request/FaultyFleet.java
@@ -36,6 +36,7 @@
     private final Map<RequestId, CallerRequest> asked = new HashMap<>();
     private final List<Told> told = new ArrayList<>();
     private int crashes;
+    private int peak;
     private long now = 1;
     private long lastStep;
     private long incarnations;
@@ -170,6 +171,14 @@
         }
     }
 
+    void atServer(int requests) {
+        peak = Math.max(peak, requests);
+    }
+
+    int peak() {
+        return peak;
+    }
+
     void crashed() {
         crashes++;
     }
