Requests: records are not sent where a slice is left without an owner

A slice that a leaving node gives back has no next owner to take its records; the next one to claim it is in doubt for a window, as after a take-over.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/runs/HistoryGuard.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/runs/HistoryGuard.java
@@ -31,7 +31,8 @@
         @Override
         public boolean permits(HistoryData data, HistoryInput input, long now) {
             boolean next = input.grant().epoch() == data.grant().epoch() + 1;
-            return next && input.grant().origin() == GrantOrigin.HANDED_OVER;
+            boolean owned = !input.grant().owner().isNone();
+            return next && owned && input.grant().origin() == GrantOrigin.HANDED_OVER;
         }
     }
 }
