--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServeAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServeAction.java
@@ -134,6 +134,7 @@
     REFUSE_NOT_MINE {
         @Override
         public ServeData apply(ServeData data, ServeInput input, long now, Effects effects) {
+            input.gate().showOwner(data, effects);
             return reply(data, new RequestOutcome.NotRun(NotRunReason.WRONG_OWNER), effects);
         }
     },
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/runs/RunDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/runs/RunDesk.java
@@ -16,6 +16,7 @@
 import org.verbenamast.core.chart.file.ChartReader;
 import org.verbenamast.core.effect.Effect;
 import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.membership.MemberRow;
 import org.verbenamast.core.message.PeerMessage;
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.model.RequestId;
@@ -183,6 +184,9 @@
      * @param effects the sink of the effects
      */
     public void learnt(Row row, long now, Effects effects) {
+        if (row.value() instanceof MemberRow member && member.status().over()) {
+            forgotten.remove(member.id());
+        }
         if (!(row.value() instanceof ChunkRow chunk) || !chunk.service().equals(service.name())) {
             return;
         }
@@ -192,15 +196,6 @@
         }
     }
 
-    /**
-     * Forgets the requests of a member whose incarnation has ended.
-     *
-     * @param member the member
-     */
-    public void forget(MemberId member) {
-        forgotten.remove(member);
-    }
-
     private void follow(SliceId slice, SliceGrant grant, long now, Effects effects) {
         Instance<HistoryData> known = histories.find(slice);
         if (known != null && known.data().grant().epoch() != grant.epoch()) {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/DirectoryRouter.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/DirectoryRouter.java
@@ -9,18 +9,23 @@
 import java.util.Random;
 
 import org.verbenamast.core.chart.TransitionListener;
+import org.verbenamast.core.effect.Effect;
+import org.verbenamast.core.effect.Effects;
 import org.verbenamast.core.gate.crash.SuspectDesk;
 import org.verbenamast.core.membership.Directory;
 import org.verbenamast.core.membership.MemberRow;
+import org.verbenamast.core.message.PeerMessage;
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.model.RequestId;
 import org.verbenamast.core.model.ServiceName;
 import org.verbenamast.core.model.ServiceSettings;
 import org.verbenamast.core.model.SliceId;
 import org.verbenamast.core.node.CoreSettings;
+import org.verbenamast.core.ownership.ChunkRow;
 import org.verbenamast.core.ownership.SliceGrant;
 import org.verbenamast.core.request.peer.HealthDesk;
 import org.verbenamast.core.request.peer.HealthEvent;
+import org.verbenamast.core.store.RowKey;
 
 /** Routes by the rows that the node knows and by what it has seen of the members itself. */
 public final class DirectoryRouter implements Router {
@@ -87,7 +92,9 @@
     private MemberId ownerOf(SliceId slice) {
         SliceGrant grant = directory.grant(slice);
         MemberRow owner = directory.member(grant.owner());
-        return owner == null || owner.status().over() ? MemberId.NONE : owner.id();
+        boolean serves =
+                owner != null && !owner.status().over() && !directory.marks().isClosed(owner);
+        return serves ? owner.id() : MemberId.NONE;
     }
 
     private MemberId anyOf(ServiceName service, EntryData data, long now) {
@@ -99,7 +106,7 @@
     private List<MemberId> candidates(ServiceName service, EntryData data) {
         List<MemberId> free = new ArrayList<>();
         for (MemberRow member : directory.activeMembers(service)) {
-            if (!data.at(member.id())) {
+            if (!data.at(member.id()) && takesWork(member)) {
                 free.add(member.id());
             }
         }
@@ -107,6 +114,10 @@
         return good.isEmpty() ? free : good;
     }
 
+    private boolean takesWork(MemberRow member) {
+        return !directory.marks().isOut(member) && directory.table().weights().of(member) > 0;
+    }
+
     @Override
     public boolean chooseHedge(EntryData data, long now) {
         if (suspects.sliceOf(data.request(), serviceOf(data)) != null) {
@@ -120,6 +131,20 @@
         return true;
     }
 
+    @Override
+    public void askOwner(EntryData data, Effects effects) {
+        ServiceSettings service = serviceOf(data);
+        List<MemberRow> members = directory.activeMembers(service.name());
+        if (members.isEmpty()) {
+            return;
+        }
+        MemberId asked = members.get(random.nextInt(members.size())).id();
+        data.request().slice(service).ifPresent(slice -> {
+            RowKey key = ChunkRow.keyOf(service.name(), service.chunkOf(slice.number()));
+            effects.emit(new Effect.SendToPeer(asked, new PeerMessage.RowRequest(List.of(key))));
+        });
+    }
+
     @Override
     public MemberId chosen() {
         return chosen;
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/EntryAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/EntryAction.java
@@ -21,6 +21,14 @@
             return sent;
         }
     },
+    /** Asks another member who owns the request's key. */
+    ASK_OWNER {
+        @Override
+        public EntryData apply(EntryData data, EntryInput input, long now, Effects effects) {
+            input.router().askOwner(data, effects);
+            return data;
+        }
+    },
     /** Notes that a try certainly did not run. */
     TAKE_BACK {
         @Override
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/EntryDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/EntryDesk.java
@@ -12,11 +12,13 @@
 import org.verbenamast.core.chart.file.ChartReader;
 import org.verbenamast.core.effect.Effect;
 import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.membership.MemberRow;
 import org.verbenamast.core.message.PeerMessage;
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.model.RequestId;
 import org.verbenamast.core.model.ServiceSettings;
 import org.verbenamast.core.node.CoreSettings;
+import org.verbenamast.core.store.Row;
 
 /** The requests that this node took from callers. */
 public final class EntryDesk {
@@ -128,13 +130,15 @@
     }
 
     /**
-     * Forgets a member whose incarnation has ended.
+     * Forgets a member when its row says that its incarnation has ended.
      *
-     * @param member the member
+     * @param row a row that the directory has learnt
      * @param now the monotonic time, in nanoseconds
      */
-    public void forget(MemberId member, long now) {
-        router.forget(member, now);
+    public void learnt(Row row, long now) {
+        if (row.value() instanceof MemberRow member && member.status().over()) {
+            router.forget(member.id(), now);
+        }
     }
 
     /**
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/Router.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/Router.java
@@ -1,5 +1,6 @@
 package org.verbenamast.core.request;
 
+import org.verbenamast.core.effect.Effects;
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.model.RequestId;
 
@@ -24,6 +25,14 @@
      */
     boolean chooseHedge(EntryData data, long now);
 
+    /**
+     * Asks another member of the service who owns the request's key, as this node may not have learnt it yet.
+     *
+     * @param data the request
+     * @param effects the sink of the effects
+     */
+    void askOwner(EntryData data, Effects effects);
+
     /**
      * Returns the member that was chosen last.
      *
--- a/verbenamast-core/src/test/java/org/verbenamast/core/request/AtMostOnceTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/request/AtMostOnceTest.java
@@ -97,7 +97,7 @@
         // then
         List<String> failed = fleet.told().stream()
                 .filter(told -> !(told.outcome() instanceof RequestOutcome.Answered))
-                .map(told -> told.id() + " " + told.outcome() + " " + told.at())
+                .map(told -> told.request().method() + " " + told.id() + " " + told.outcome() + " " + told.at())
                 .limit(5)
                 .toList();
         assertThat(failed).isEmpty();
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerEncoder.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/PeerEncoder.java
@@ -105,4 +105,9 @@
     public void onCrashHistory(MemberId from, PeerMessage.CrashHistory message, long now) {
         envelope.setCrashHistory(CrashCodec.encode(message));
     }
+
+    @Override
+    public void onMarkPush(MemberId from, PeerMessage.MarkPush message, long now) {
+        envelope.setMarkPush(TableCodec.encode(message));
+    }
 }
