--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/Gate.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/Gate.java
@@ -17,6 +17,14 @@
      */
     boolean mayServe(ServeData data, long now);
 
+    /**
+     * Shows the sender of a request who owns its key, as far as this node knows.
+     *
+     * @param data the request
+     * @param effects the sink of the effects
+     */
+    void showOwner(ServeData data, Effects effects);
+
     /**
      * Tells what is known of the runs of a request.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServeDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServeDesk.java
@@ -1,6 +1,7 @@
 package org.verbenamast.core.gate;
 
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Objects;
 import java.util.Set;
 
@@ -22,6 +23,7 @@
 import org.verbenamast.core.gate.runs.RunKey;
 import org.verbenamast.core.gate.runs.RunLimits;
 import org.verbenamast.core.gate.runs.RunStanding;
+import org.verbenamast.core.membership.Directory;
 import org.verbenamast.core.membership.MemberDesk;
 import org.verbenamast.core.membership.MemberTag;
 import org.verbenamast.core.membership.ServerAnnouncement;
@@ -31,9 +33,11 @@
 import org.verbenamast.core.model.ServiceSettings;
 import org.verbenamast.core.model.SliceId;
 import org.verbenamast.core.node.CoreSettings;
+import org.verbenamast.core.ownership.ChunkRow;
 import org.verbenamast.core.ownership.OwnershipDesk;
 import org.verbenamast.core.request.CallerRequest;
 import org.verbenamast.core.request.RequestOutcome;
+import org.verbenamast.core.store.Row;
 
 /** The requests that the backend server beside this node is to run, and the only way to it. */
 public final class ServeDesk implements Gate {
@@ -47,6 +51,7 @@
     private final CoreSettings settings;
     private final ServiceSettings service;
     private final MemberDesk member;
+    private final Directory directory;
     private final OwnershipDesk ownership;
     private final SuspectDesk suspects;
     private final RunDesk runs;
@@ -61,6 +66,7 @@
      *
      * @param settings the node's settings
      * @param member the node's own membership
+     * @param directory the rows that the node knows
      * @param ownership the slices that the node owns
      * @param suspects the requests that are suspected to crash backend servers
      * @param listener is told of each transition
@@ -68,12 +74,14 @@
     public ServeDesk(
             CoreSettings settings,
             MemberDesk member,
+            Directory directory,
             OwnershipDesk ownership,
             SuspectDesk suspects,
             TransitionListener listener) {
         this.settings = Objects.requireNonNull(settings, "settings");
         this.service = settings.serviceOf(settings.service()).orElseThrow();
         this.member = Objects.requireNonNull(member, "member");
+        this.directory = Objects.requireNonNull(directory, "directory");
         this.ownership = Objects.requireNonNull(ownership, "ownership");
         this.suspects = Objects.requireNonNull(suspects, "suspects");
         this.runs = new RunDesk(settings.self(), service, RunLimits.DEFAULT, listener);
@@ -235,6 +243,18 @@
         return data.slice() == null ? !member.is(MemberTag.STOPPING) : ownership.admits(data.slice(), now);
     }
 
+    @Override
+    public void showOwner(ServeData data, Effects effects) {
+        if (data.slice() == null) {
+            return;
+        }
+        Row row = directory.row(
+                ChunkRow.keyOf(service.name(), service.chunkOf(data.slice().number())));
+        if (row != null) {
+            effects.emit(new Effect.SendToPeer(data.from(), new PeerMessage.RowPush(List.of(row))));
+        }
+    }
+
     @Override
     public RunStanding standing(ServeData data) {
         return data.run() == null ? RunStanding.FRESH : runs.standing(data.run(), data.id());
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/runs/RunDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/runs/RunDesk.java
@@ -16,6 +16,7 @@
 import org.verbenamast.core.chart.file.ChartReader;
 import org.verbenamast.core.effect.Effect;
 import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.membership.MemberRow;
 import org.verbenamast.core.message.PeerMessage;
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.model.RequestId;
@@ -121,7 +122,7 @@
      * @param now the monotonic time, in nanoseconds
      */
     public void begun(RunKey key, RequestId id, long now) {
-        runs.begin(key, new RunData(key, id, null, limits.windowMillis()), now);
+        runs.begin(key, new RunData(key, id, null, limits), now);
         if (key.resendable()) {
             bySlice.computeIfAbsent(key.slice(), slice -> new HashSet<>()).add(key);
         }
@@ -153,10 +154,14 @@
         return outcome;
     }
 
-    void discard(RunData run) {
+    void dropAnswer(RunData run) {
         if (run.outcome() instanceof RequestOutcome.Answered answered) {
             keptBytes -= answered.body().length();
         }
+    }
+
+    void discard(RunData run) {
+        dropAnswer(run);
         if (run.key().resendable()) {
             forget(run.key());
         } else if (run.outcome() != null) {
@@ -179,6 +184,9 @@
      * @param effects the sink of the effects
      */
     public void learnt(Row row, long now, Effects effects) {
+        if (row.value() instanceof MemberRow member && member.status().over()) {
+            forgotten.remove(member.id());
+        }
         if (!(row.value() instanceof ChunkRow chunk) || !chunk.service().equals(service.name())) {
             return;
         }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeDesks.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeDesks.java
@@ -61,7 +61,7 @@
         this.suspects = new SuspectDesk(settings.self(), directory, decisions);
         DirectoryRouter router = new DirectoryRouter(settings, directory, suspects, RoutePolicy.DEFAULT, decisions);
         this.entries = new EntryDesk(settings, router, decisions);
-        this.serving = new ServeDesk(settings, member, ownership, suspects, decisions);
+        this.serving = new ServeDesk(settings, member, directory, ownership, suspects, decisions);
         FleetView fleet = new FleetView(directory, settings.services(), settings.zones(), this::running);
         this.commands = new CommandDesk(settings.operators(), directory, fleet, store, this, decisions);
         this.marks = new MarkDesk(settings, directory, fleet, store, this, decisions);
@@ -121,6 +121,7 @@
         if (newcomer) {
             suspects.learnt(((MemberRow) row.value()).id(), now, effects);
         }
+        entries.learnt(row, now);
         marks.learnt(row, now, effects);
         member.learnt(row, now, effects);
         lease.learnt(row, now, effects);
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/DirectoryRouter.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/DirectoryRouter.java
@@ -9,18 +9,23 @@
 import java.util.Random;
 
 import org.verbenamast.core.chart.TransitionListener;
+import org.verbenamast.core.effect.Effect;
+import org.verbenamast.core.effect.Effects;
 import org.verbenamast.core.gate.crash.SuspectDesk;
 import org.verbenamast.core.membership.Directory;
 import org.verbenamast.core.membership.MemberRow;
+import org.verbenamast.core.message.PeerMessage;
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.model.RequestId;
 import org.verbenamast.core.model.ServiceName;
 import org.verbenamast.core.model.ServiceSettings;
 import org.verbenamast.core.model.SliceId;
 import org.verbenamast.core.node.CoreSettings;
+import org.verbenamast.core.ownership.ChunkRow;
 import org.verbenamast.core.ownership.SliceGrant;
 import org.verbenamast.core.request.peer.HealthDesk;
 import org.verbenamast.core.request.peer.HealthEvent;
+import org.verbenamast.core.store.RowKey;
 
 /** Routes by the rows that the node knows and by what it has seen of the members itself. */
 public final class DirectoryRouter implements Router {
@@ -126,6 +131,20 @@
         return true;
     }
 
+    @Override
+    public void askOwner(EntryData data, Effects effects) {
+        ServiceSettings service = serviceOf(data);
+        List<MemberRow> members = directory.activeMembers(service.name());
+        if (members.isEmpty()) {
+            return;
+        }
+        MemberId asked = members.get(random.nextInt(members.size())).id();
+        data.request().slice(service).ifPresent(slice -> {
+            RowKey key = ChunkRow.keyOf(service.name(), service.chunkOf(slice.number()));
+            effects.emit(new Effect.SendToPeer(asked, new PeerMessage.RowRequest(List.of(key))));
+        });
+    }
+
     @Override
     public MemberId chosen() {
         return chosen;
@@ -174,6 +193,17 @@
                 || notRun.reason().blamesMember();
     }
 
+    /**
+     * Forgets a member whose incarnation has ended.
+     *
+     * @param member the member
+     * @param now the monotonic time, in nanoseconds
+     */
+    public void forget(MemberId member, long now) {
+        signals.forget(member);
+        health.saw(member, HealthEvent.ENDED, now);
+    }
+
     /**
      * Lists the requests that a member has from this node.
      *
