--- a/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeCore.java
@@ -152,7 +152,7 @@
     }
 
     /**
-     * Returns the operators' desks.marks().
+     * Returns the operators' marks.
      *
      * @return the desk that keeps them
      */
--- a/verbenamast-ctl/src/main/java/org/verbenamast/ctl/ChartCommands.java
+++ b/verbenamast-ctl/src/main/java/org/verbenamast/ctl/ChartCommands.java
@@ -10,8 +10,25 @@
 /** The command that prints charts from their files. */
 final class ChartCommands {
 
-    private static final List<String> NAMES =
-            List.of("change", "command", "entry", "mark", "member", "reading", "serve", "slice", "store-call");
+    static final List<String> NAMES = List.of(
+            "bootstrap",
+            "change",
+            "command",
+            "entry",
+            "health",
+            "history",
+            "lease",
+            "mark",
+            "member",
+            "reading",
+            "run",
+            "serve",
+            "server",
+            "slice",
+            "store-call",
+            "suspect",
+            "takeover",
+            "voucher");
 
     private ChartCommands() {}
 
--- a/verbenamast-ctl/src/test/java/org/verbenamast/ctl/CtlMainTest.java
+++ b/verbenamast-ctl/src/test/java/org/verbenamast/ctl/CtlMainTest.java
@@ -7,6 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -298,6 +299,17 @@
         assertThat(ctl("ani", "charts nothing")).endsWith("exit 1\n");
     }
 
+    @Test
+    void should_know_each_chart_when_charts_are_listed() throws IOException {
+        Path charts = Path.of("..", "verbenamast-core", "src", "main", "resources", "charts");
+        try (Stream<Path> files = Files.list(charts)) {
+            assertThat(files.map(file -> file.getFileName().toString()))
+                    .containsExactlyInAnyOrderElementsOf(ChartCommands.NAMES.stream()
+                            .map(name -> name + ".json")
+                            .toList());
+        }
+    }
+
     @Test
     void should_exit_with_its_code_when_the_command_line_or_the_node_fails() {
         assertThat(ctl("ani", "tables show")).isEqualTo("""
