Crash notices: told again four times, since a link may lose one

Ruled out: asking the earlier owner before each request after a move (up to a second without service at every move). Change: an accusing notice is told again after 0.1, 0.3, 0.9 and 2.7 s; each is harmless when it comes again. Left: a cut that outlasts 2.7 s.

--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/crash/NoticeRepeats.java
@@ -0,0 +1,44 @@
+package org.verbenamast.core.gate.crash;
+
+import java.util.PriorityQueue;
+import java.util.function.Consumer;
+
+import org.verbenamast.core.message.PeerMessage;
+import org.verbenamast.core.node.Timing;
+
+/** Notices that are told again a few times, since a link may have lost them; each is harmless when it comes again. */
+final class NoticeRepeats {
+
+    private static final long[] DELAYS_MILLIS = {100, 300, 900, 2_700};
+    private static final int MAX_PENDING = 1_024;
+
+    private final PriorityQueue<Repeat> pending = new PriorityQueue<>();
+
+    /** Plans to tell a notice again; where too many are planned, it is told once only. */
+    void plan(PeerMessage.CrashNotice notice, long now) {
+        for (long delay : DELAYS_MILLIS) {
+            if (pending.size() < MAX_PENDING) {
+                pending.add(new Repeat(now + Timing.nanos(delay), notice));
+            }
+        }
+    }
+
+    /** Hands over the notices that are due. */
+    void advance(long now, Consumer<PeerMessage.CrashNotice> teller) {
+        while (!pending.isEmpty() && pending.peek().due() <= now) {
+            teller.accept(pending.poll().notice());
+        }
+    }
+
+    /** Returns when the next notice is due, as a monotonic time in nanoseconds. */
+    long nextDue() {
+        return pending.isEmpty() ? Long.MAX_VALUE : pending.peek().due();
+    }
+
+    private record Repeat(long due, PeerMessage.CrashNotice notice) implements Comparable<Repeat> {
+        @Override
+        public int compareTo(Repeat other) {
+            return Long.compare(due, other.due);
+        }
+    }
+}
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/crash/SuspectDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/crash/SuspectDesk.java
@@ -46,6 +46,7 @@
     private final Directory directory;
     private final Population<Fingerprint, SuspectEvent, SuspectData, SuspectInput> suspects;
     private final Population<MemberId, BootstrapEvent, Integer, BootstrapInput> bootstrap;
+    private final NoticeRepeats repeats = new NoticeRepeats();
     private final LocalIncidents incidents = new LocalIncidents();
     private final Map<Fingerprint, Integer> running = new HashMap<>();
     private boolean begun;
@@ -221,6 +222,13 @@
     private void tell(List<Fingerprint> fingerprints, String incident, CrashNews news, long now, Effects effects) {
         PeerMessage.CrashNotice notice = new PeerMessage.CrashNotice(fingerprints, incident, news);
         heard(notice, now, effects);
+        broadcast(notice, effects);
+        if (news.accuses()) {
+            repeats.plan(notice, now);
+        }
+    }
+
+    private void broadcast(PeerMessage.CrashNotice notice, Effects effects) {
         for (MemberRow member : directory.members()) {
             if (!member.id().equals(self) && !member.status().over()) {
                 effects.emit(new Effect.SendToPeer(member.id(), notice));
@@ -322,6 +330,7 @@
         }
         bootstrap.advance(now, effects);
         suspects.advance(now, effects);
+        repeats.advance(now, notice -> broadcast(notice, effects));
     }
 
     /**
@@ -330,6 +339,6 @@
      * @return the monotonic time, in nanoseconds
      */
     public long nextDue() {
-        return begun ? Math.min(bootstrap.nextDue(), suspects.nextDue()) : 0;
+        return Math.min(repeats.nextDue(), begun ? Math.min(bootstrap.nextDue(), suspects.nextDue()) : 0);
     }
 }
