Membership: a node whose backend server is gone or drains gives its slices to others; marks close the gate

A node that had not heard a mark could still send to a marked server. Ruled out: ending the incarnation, as the node still holds its lease and can hand over in order.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServeDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/ServeDesk.java
@@ -25,6 +25,7 @@
 import org.verbenamast.core.gate.runs.RunStanding;
 import org.verbenamast.core.membership.Directory;
 import org.verbenamast.core.membership.MemberDesk;
+import org.verbenamast.core.membership.MemberRow;
 import org.verbenamast.core.membership.MemberTag;
 import org.verbenamast.core.membership.ServerAnnouncement;
 import org.verbenamast.core.message.PeerMessage;
@@ -235,9 +236,10 @@
 
     @Override
     public boolean mayServe(ServeData data, long now) {
-        if (!suspects.ready()
-                || !member.is(MemberTag.JOINED)
-                || !data.request().service().equals(service.name())) {
+        if (!suspects.ready() || !member.is(MemberTag.JOINED) || markedOut()) {
+            return false;
+        }
+        if (!data.request().service().equals(service.name())) {
             return false;
         }
         return data.slice() == null ? !member.is(MemberTag.STOPPING) : ownership.admits(data.slice(), now);
@@ -255,6 +257,11 @@
         }
     }
 
+    private boolean markedOut() {
+        MemberRow own = directory.member(settings.self());
+        return own != null && directory.marks().isClosed(own);
+    }
+
     @Override
     public RunStanding standing(ServeData data) {
         return data.run() == null ? RunStanding.FRESH : runs.standing(data.run(), data.id());
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/limit/ServerTag.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/limit/ServerTag.java
@@ -7,5 +7,7 @@
     /** The backend server may fall over under its full load. */
     COLD,
     /** The backend server has not announced itself for too long. */
-    SILENT
+    SILENT,
+    /** The node gives its slices to others until the backend server takes work again. */
+    WITHDRAWN
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/membership/MemberAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/membership/MemberAction.java
@@ -21,6 +21,14 @@
             return data;
         }
     },
+    /** Writes the row as that of a member whose backend server takes no work. */
+    WRITE_WITHDRAWN {
+        @Override
+        public MemberData apply(MemberData data, MemberInput input, long now, Effects effects) {
+            data.desk().write(data.announcement(), MemberStatus.WITHDRAWN, now, effects);
+            return data;
+        }
+    },
     /** Writes the row as that of a member that is stopping. */
     WRITE_LEAVING {
         @Override
--- a/verbenamast-core/src/main/java/org/verbenamast/core/membership/MemberDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/membership/MemberDesk.java
@@ -38,6 +38,7 @@
     private final Population<MemberId, MemberEvent, MemberData, MemberInput> self;
     private final RowKey key;
     private long operations;
+    private boolean serverWithdrawn;
 
     /**
      * Makes the desk of a node whose backend server has not announced itself.
@@ -92,6 +93,20 @@
         self.fire(settings.self(), MemberEvent.ANNOUNCED, new MemberInput(announcement), now, effects);
     }
 
+    /**
+     * Notes whether the backend server takes work.
+     *
+     * @param withdrawn whether it is gone or wants no new work
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void serverWithdrawn(boolean withdrawn, long now, Effects effects) {
+        if (withdrawn != serverWithdrawn) {
+            boolean taken = fire(withdrawn ? MemberEvent.SERVER_WITHDRAWN : MemberEvent.SERVER_BACK, now, effects);
+            serverWithdrawn = taken ? withdrawn : serverWithdrawn;
+        }
+    }
+
     /**
      * Begins a graceful stop.
      *
@@ -176,7 +191,7 @@
         fire(MemberEvent.NOT_WRITTEN, now, effects);
     }
 
-    private void fire(MemberEvent event, long now, Effects effects) {
-        self.fire(settings.self(), event, MemberInput.NONE, now, effects);
+    private boolean fire(MemberEvent event, long now, Effects effects) {
+        return self.fire(settings.self(), event, MemberInput.NONE, now, effects);
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/membership/MemberEvent.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/membership/MemberEvent.java
@@ -10,6 +10,10 @@
     NOT_WRITTEN,
     /** It is time to try again. */
     RETRY_DUE,
+    /** The backend server is gone or wants no new work. */
+    SERVER_WITHDRAWN,
+    /** The backend server takes work again. */
+    SERVER_BACK,
     /** The node is asked to stop. */
     STOP,
     /** Nothing is left that this node owns or runs. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/membership/MemberStatus.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/membership/MemberStatus.java
@@ -4,6 +4,8 @@
 public enum MemberStatus {
     /** The member serves and may be given slices. */
     ACTIVE(true, false),
+    /** The backend server beside the member takes no work at present, so that the member is given nothing new. */
+    WITHDRAWN(false, false),
     /** The member is stopping and is given nothing new. */
     LEAVING(false, false),
     /** The member's incarnation is over for good. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeDesks.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/node/NodeDesks.java
@@ -6,6 +6,7 @@
 import org.verbenamast.core.effect.Effects;
 import org.verbenamast.core.gate.ServeDesk;
 import org.verbenamast.core.gate.crash.SuspectDesk;
+import org.verbenamast.core.gate.limit.ServerTag;
 import org.verbenamast.core.lease.LeaseDesk;
 import org.verbenamast.core.membership.Directory;
 import org.verbenamast.core.membership.MemberDesk;
@@ -76,6 +77,7 @@
         entries.advance(now, effects);
         serving.advance(now, effects);
         suspects.advance(now, effects);
+        member.serverWithdrawn(serving.server().is(ServerTag.WITHDRAWN), now, effects);
         commands.advance(now, effects);
         marks.advance(now, effects);
         if (member.is(MemberTag.STOPPING) && ownership.owned() == 0 && serving.open() == 0 && entries.open() == 0) {
--- a/verbenamast-it/src/test/java/org/verbenamast/it/LossTest.java
+++ b/verbenamast-it/src/test/java/org/verbenamast/it/LossTest.java
@@ -17,6 +17,15 @@
         }
     }
 
+    @Test
+    void should_serve_every_key_again_when_a_backend_server_is_killed() throws IOException {
+        try (FaultRun run = FaultRun.start(Plans.small("loss-server", 5, 0))) {
+            run.faults().kill(run.deployment().server(run.host(1)));
+            run.awaitServed(run.host(0));
+            run.finish();
+        }
+    }
+
     @Test
     void should_serve_every_key_again_when_node_and_backend_server_are_killed() throws IOException {
         try (FaultRun run = FaultRun.start(Plans.small("loss-both", 5, 0))) {
