Docs: one sentence on each package

Change: package-info with one sentence each, and the chart or class to begin with where there is one. Behaviour is unchanged. Conclusion: the tree explains itself by folder.

--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/check/package-info.java
@@ -0,0 +1,2 @@
+/** Named checks of arguments. */
+package org.verbenamast.core.check;
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/effect/package-info.java
@@ -0,0 +1,2 @@
+/** What decisions want done outside. */
+package org.verbenamast.core.effect;
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/lease/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Leases by lease peers, and the take-over of lost members. Charts {@code lease}, {@code voucher} and {@code
+ * takeover}.
+ */
+package org.verbenamast.core.lease;
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/message/package-info.java
@@ -0,0 +1,2 @@
+/** What members send each other. */
+package org.verbenamast.core.message;
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/model/package-info.java
@@ -0,0 +1,2 @@
+/** The smallest records: members, services, slices, addresses. */
+package org.verbenamast.core.model;
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/node/package-info.java
@@ -0,0 +1,2 @@
+/** All decisions of one node. Begin with {@link org.verbenamast.core.node.NodeCore}. */
+package org.verbenamast.core.node;
--- /dev/null
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Measurements of real processes and of charts. */
+package org.verbenamast.it.bench;
--- /dev/null
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/check/package-info.java
@@ -0,0 +1,2 @@
+/** Reads what backend servers recorded and callers were told, and finds contradictions. */
+package org.verbenamast.it.check;
--- /dev/null
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/caller/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP front for callers. */
+package org.verbenamast.node.caller;
--- /dev/null
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/http/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP headers of requests and answers. */
+package org.verbenamast.node.http;
--- /dev/null
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/loop/package-info.java
@@ -0,0 +1,2 @@
+/** Drives the decisions on the one event loop. */
+package org.verbenamast.node.loop;
--- /dev/null
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Links between members. Chart {@code link}. */
+package org.verbenamast.node.peer;
--- /dev/null
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The settings of a node and how they are read. */
+package org.verbenamast.node.settings;
--- /dev/null
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/telemetry/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics and trace spans. */
+package org.verbenamast.node.telemetry;
--- /dev/null
+++ b/verbenamast-standins/src/main/java/org/verbenamast/standins/server/package-info.java
@@ -0,0 +1,2 @@
+/** Stands in for a backend server. */
+package org.verbenamast.standins.server;
