Node: the log's queue is written out before the process exits

Change: NodeMain stops the logger context at the end, which writes the queue out; a test starts a node whose address is taken and wants exit code 1 and the cause in the log. Conclusion: a node that can't start says why.

--- a/verbenamast-it/src/test/java/org/verbenamast/it/CommandLineTest.java
+++ b/verbenamast-it/src/test/java/org/verbenamast/it/CommandLineTest.java
@@ -1,6 +1,8 @@
 package org.verbenamast.it;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -14,6 +16,7 @@
 
 class CommandLineTest {
 
+    private static final int FAILED = 1;
     private static final int BAD_INPUT = 2;
 
     @TempDir
@@ -64,6 +67,19 @@
                 .isEqualTo(BAD_INPUT);
     }
 
+    @Test
+    void should_log_the_cause_and_exit_with_1_when_an_address_is_taken() throws Exception {
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            String settings = Files.readString(Deployed.ROOT.resolve(Path.of("examples", "node.json")));
+            String callers = "\"callers\": \"127.0.0.1:" + taken.getLocalPort() + "\"";
+            Path file = folder.resolve("taken.json");
+            Files.writeString(file, settings.replace("\"callers\": \"127.0.0.1:21100\"", callers));
+            Ended ended = run("--settings", file.toString());
+            assertThat(ended.code()).isEqualTo(FAILED);
+            assertThat(ended.output()).contains("node failed", "Address already in use");
+        }
+    }
+
     private static Ended run(String... args) throws IOException, InterruptedException {
         Path jar = Deployed.ROOT.resolve(Path.of("verbenamast-node", "target", "verbenamast-node.jar"));
         List<String> command = new ArrayList<>();
--- a/verbenamast-node/src/main/java/org/verbenamast/node/NodeMain.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/NodeMain.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.List;
 
+import ch.qos.logback.classic.LoggerContext;
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
 import io.vavr.control.Either;
@@ -89,6 +90,15 @@
         } catch (Exception e) {
             log.error("node failed", e);
             return ExitCode.FAILED;
+        } finally {
+            flushLogs();
+        }
+    }
+
+    /** Writes out the log's queue, which would be lost at the exit. */
+    private static void flushLogs() {
+        if (LoggerFactory.getILoggerFactory() instanceof LoggerContext context) {
+            context.stop();
         }
     }
 }
