Relay: the body of a request follows once the link to the other node is there

Cause: the body was taken when the try began, before its bytes had come; the server waited for a body that was never sent, and each such request held a slot until its time was over.

--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
@@ -151,8 +151,7 @@
                 .setCallerService(head.getCallerService())
                 .setBodyLength(head.getBodyLength());
         current = new RelayTry(pool, open.target().peer(), this);
-        RelayTry begun = current;
-        begun.begin(frame.build(), kept.toByteArray(), bodyEnded);
+        current.begin(frame.build());
     }
 
     private void withdraw() {
@@ -162,6 +161,14 @@
         }
     }
 
+    @Override
+    public void begun() {
+        current.body(kept.toByteArray());
+        if (bodyEnded) {
+            current.endBody();
+        }
+    }
+
     @Override
     public void unreached() {
         loop.run((now, effects) -> core.entry().unreached(request.id(), now, effects));
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/RelayTry.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/RelayTry.java
@@ -22,6 +22,9 @@
     /** Takes what the other node says. */
     interface Observer {
 
+        /** Is told that the head was sent; what is there of the body is to follow. */
+        void begun();
+
         /** Is told that the node was not reached; nothing was sent. */
         void unreached();
 
@@ -60,9 +63,9 @@
         this.observer = Objects.requireNonNull(observer, "observer");
     }
 
-    /** Connects and sends the request's head and what is there of its body. */
-    void begin(RelayOpen open, byte[] body, boolean whole) {
-        pool.take(address).whenResult(taken -> begin(taken, open, body, whole)).whenException(e -> {
+    /** Connects and sends the request's head. */
+    void begin(RelayOpen open) {
+        pool.take(address).whenResult(taken -> begin(taken, open)).whenException(e -> {
             if (!ended) {
                 ended = true;
                 pool.drop(address);
@@ -71,7 +74,7 @@
         });
     }
 
-    private void begin(FrameLink taken, RelayOpen open, byte[] body, boolean whole) {
+    private void begin(FrameLink taken, RelayOpen open) {
         if (ended) {
             pool.giveBack(address, taken);
             return;
@@ -79,10 +82,7 @@
         link = taken;
         link.use(this);
         link.send(RelayFrame.newBuilder().setOpen(open).build());
-        body(body);
-        if (whole) {
-            endBody();
-        }
+        observer.begun();
     }
 
     boolean begun() {
