--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/GateDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/GateDesk.java
@@ -194,7 +194,8 @@
             return;
         }
         if (answered && instance.is(GateTag.RUNNING)) {
-            times.add(instance.data().request().priority(), now - instance.data().startedAt());
+            times.add(
+                    instance.data().request().priority(), now - instance.data().startedAt());
         }
         requests.fire(id, GateEvent.FINISHED, GateInput.NONE, now, effects);
         passOn(now, effects);
@@ -218,8 +219,7 @@
             GateRequest request = each.data().request();
             Optional<Refusal> refusal = refusal(request, now);
             if (refusal.isPresent()) {
-                requests.fire(
-                        request.id(), GateEvent.REJECTED, GateInput.refused(refusal.get(), 0), now, effects);
+                requests.fire(request.id(), GateEvent.REJECTED, GateInput.refused(refusal.get(), 0), now, effects);
             }
         }
         passOn(now, effects);
--- a/verbenamast-core/src/main/java/org/verbenamast/core/backend/BackendGuard.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/backend/BackendGuard.java
@@ -10,7 +10,8 @@
         public boolean permits(BackendData data, BackendInput input, long now) {
             return input.beat().isPresent()
                     && data.last()
-                            .filter(last -> last.life().equals(input.beat().get().life()))
+                            .filter(last ->
+                                    last.life().equals(input.beat().get().life()))
                             .isEmpty();
         }
     }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryAction.java
@@ -10,8 +10,8 @@
         @Override
         public EntryData apply(EntryData data, EntryInput input, long now, Effects effects) {
             EntryData next = data.opened(input.target().orElseThrow());
-            effects.emit(new EntryEffect.OpenTry(
-                    data.request().id(), next.target().orElseThrow(), input.lastChance()));
+            effects.emit(
+                    new EntryEffect.OpenTry(data.request().id(), next.target().orElseThrow(), input.lastChance()));
             return next;
         }
     },
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryDesk.java
@@ -52,8 +52,7 @@
      * @param random draws numbers evenly from 0 (included) to 1 (excluded)
      * @param listener is told of each transition
      */
-    public EntryDesk(
-            Zone zone, Roster roster, RowReplica replica, DoubleSupplier random, TransitionListener listener) {
+    public EntryDesk(Zone zone, Roster roster, RowReplica replica, DoubleSupplier random, TransitionListener listener) {
         Objects.requireNonNull(listener, "listener");
         this.health = new HealthDesk(TransitionListener.NONE);
         this.chooser = new ServerChooser(zone, roster, replica, loads, member -> !reachable(member), random);
@@ -120,7 +119,8 @@
 
     private EntryInput chooseOwner(EntryData data) {
         EntryRequest request = data.request();
-        Optional<Member> owner = chooser.ownerOf(request.service(), request.key().getAsInt());
+        Optional<Member> owner =
+                chooser.ownerOf(request.service(), request.key().getAsInt());
         if (owner.isEmpty()) {
             return EntryInput.routed(Optional.empty(), true, Refusal.NOT_OWNER);
         }
@@ -147,8 +147,7 @@
      * @param now the monotonic time, in nanoseconds
      * @param effects the sink of the effects
      */
-    public void refused(
-            long id, Refusal reason, long retryAfterMillis, GateLoad load, long now, Effects effects) {
+    public void refused(long id, Refusal reason, long retryAfterMillis, GateLoad load, long now, Effects effects) {
         Instance<EntryData> instance = requests.find(id);
         if (instance == null) {
             return;
@@ -156,7 +155,8 @@
         Member member = instance.data().target().orElseThrow();
         loads.told(member.node(), load, now);
         health.saw(idOf(member), HealthEvent.SUCCEEDED, now);
-        boolean budget = reason.arrivals() == 0 || budget(instance.data().request().service()).spend();
+        boolean budget = reason.arrivals() == 0
+                || budget(instance.data().request().service()).spend();
         fire(id, EntryEvent.REFUSED, EntryInput.refused(reason, retryAfterMillis, budget), now, effects);
     }
 
@@ -217,8 +217,7 @@
      * @param now the monotonic time, in nanoseconds
      * @param effects the sink of the effects
      */
-    public void answered(
-            long id, boolean failed, boolean replayable, GateLoad load, long now, Effects effects) {
+    public void answered(long id, boolean failed, boolean replayable, GateLoad load, long now, Effects effects) {
         Instance<EntryData> instance = requests.find(id);
         if (instance == null) {
             return;
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryGuard.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryGuard.java
@@ -28,7 +28,9 @@
         @Override
         public boolean permits(EntryData data, EntryInput input, long now) {
             boolean sent = input.refusal().arrivals() > 0;
-            boolean allowed = !sent || input.budget() && data.sends() + 1 < data.request().route().maxAttempts();
+            boolean allowed = !sent
+                    || input.budget()
+                            && data.sends() + 1 < data.request().route().maxAttempts();
             boolean other = input.refusal().otherServerMayServe() && !data.keyed()
                     || data.keyed() && input.refusal().viewOutdated();
             return allowed && other && data.asks() < MOST_ASKS;
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryInput.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryInput.java
@@ -24,8 +24,7 @@
         boolean failed,
         boolean budget) {
 
-    static final EntryInput NONE =
-            new EntryInput(Optional.empty(), false, Refusal.NO_SERVER, 0, false, false);
+    static final EntryInput NONE = new EntryInput(Optional.empty(), false, Refusal.NO_SERVER, 0, false, false);
 
     /** Checks the fields. */
     public EntryInput {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyDesk.java
@@ -130,7 +130,9 @@
             endedHere.add(book.life());
         }
         endedHere.remove(life);
-        long unknownUntil = now < startedAt + Timing.nanos(terms.leaseMillis()) ? startedAt + Timing.nanos(TenureTerms.surelyOver(terms.holdMillis())) : now;
+        long unknownUntil = now < startedAt + Timing.nanos(terms.leaseMillis())
+                ? startedAt + Timing.nanos(TenureTerms.surelyOver(terms.holdMillis()))
+                : now;
         book = new KeyGrantBook(life, unknownUntil);
         tenure.serverKnown(life, now, effects);
     }
@@ -248,7 +250,9 @@
         tenure.advance(now, effects);
         watch.advance(now, effects);
         writer.advance(now, effects);
-        if (book != null && now > book.grantedUntil() + HOLD_SLACK && now > lastBeatAt + Timing.nanos(terms.holdMillis())) {
+        if (book != null
+                && now > book.grantedUntil() + HOLD_SLACK
+                && now > lastBeatAt + Timing.nanos(terms.holdMillis())) {
             serverEnded(book.life(), now, effects);
         }
         if (now < nextReview) {
@@ -328,7 +332,8 @@
 
     private boolean isLost(ServerLife owner, long now) {
         Optional<Member> host = roster.hostOf(owner);
-        boolean here = host.filter(member -> member.node().equals(node) || reachable.test(member)).isPresent();
+        boolean here = host.filter(member -> member.node().equals(node) || reachable.test(member))
+                .isPresent();
         return suspects.lostFor(owner, here, now) >= SUSPECT_AFTER;
     }
 
@@ -363,8 +368,9 @@
         if (!plansHere() || first && now - calmSince < FIRST_DEAL_CALM) {
             return map;
         }
-        List<Member> serving =
-                roster.serving(service).stream().filter(member -> !isLost(member.life(), now)).toList();
+        List<Member> serving = roster.serving(service).stream()
+                .filter(member -> !isLost(member.life(), now))
+                .toList();
         Set<ServerLife> lives = new HashSet<>();
         serving.forEach(member -> lives.add(member.life()));
         KeyMap kept = serving.isEmpty() ? map : map.withoutMovesTo(life -> !lives.contains(life));
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyGrantBook.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyGrantBook.java
@@ -71,8 +71,8 @@
 
     private boolean ownsAny(KeyMap map, KeyRange range) {
         return map.assignments().stream()
-                .anyMatch(assignment -> assignment.owner().equals(Optional.of(life))
-                        && overlap(assignment.range(), range));
+                .anyMatch(assignment ->
+                        assignment.owner().equals(Optional.of(life)) && overlap(assignment.range(), range));
     }
 
     /** Takes back from the server what it has given back or can no longer hold. */
@@ -90,7 +90,8 @@
     }
 
     boolean holds(int key, long now) {
-        return now < grantedUntil && granted.stream().anyMatch(grant -> grant.range().contains(key));
+        return now < grantedUntil
+                && granted.stream().anyMatch(grant -> grant.range().contains(key));
     }
 
     /** Tells when all grants to this run have certainly ended. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyHeat.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyHeat.java
@@ -3,7 +3,7 @@
 /** How many requests each key got lately; older requests count less and less. */
 public final class KeyHeat {
 
-    /** Time after which a request counts half, in nanoseconds; short enough to see a key that turned hot a second ago. */
+    /** Time after which a request counts half, in nanoseconds; keys that turned hot a second ago are seen. */
     private static final double HALF_LIFE_NANOS = 1.5e9;
 
     private static final double NANOS_PER_SECOND = 1e9;
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyMap.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyMap.java
@@ -41,8 +41,7 @@
      */
     public static KeyMap vacant(String service) {
         KeyRange all = new KeyRange(0, KeyRange.MAX_KEY);
-        return new KeyMap(
-                service, 0, List.of(new KeyAssignment(all, Optional.empty(), 0, "", Optional.empty())));
+        return new KeyMap(service, 0, List.of(new KeyAssignment(all, Optional.empty(), 0, "", Optional.empty())));
     }
 
     /**
@@ -180,7 +179,9 @@
     private static void add(List<KeyAssignment> list, KeyAssignment next) {
         KeyAssignment last = list.isEmpty() ? null : list.get(list.size() - 1);
         if (last != null && next.continues(last) && !Objects.equals(next.owner(), Optional.empty())) {
-            list.set(list.size() - 1, last.on(new KeyRange(last.range().from(), next.range().to())));
+            list.set(
+                    list.size() - 1,
+                    last.on(new KeyRange(last.range().from(), next.range().to())));
         } else {
             list.add(next);
         }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyPlan.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyPlan.java
@@ -53,12 +53,14 @@
         }
         weigh(map);
         KeyMap housed = houseHomeless(map);
-        boolean moving = housed.assignments().stream().anyMatch(each -> each.next().isPresent());
+        boolean moving =
+                housed.assignments().stream().anyMatch(each -> each.next().isPresent());
         return housed != map || moving || !balance || heat.total() < MIN_HEAT ? housed : balance(housed);
     }
 
     private void weigh(KeyMap map) {
-        double capacity = candidates.stream().mapToDouble(KeyCandidate::capacity).sum();
+        double capacity =
+                candidates.stream().mapToDouble(KeyCandidate::capacity).sum();
         double all = heat.of(new KeyRange(0, KeyRange.MAX_KEY));
         for (KeyCandidate candidate : candidates) {
             part.put(candidate.life(), all * candidate.capacity() / capacity);
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/TenureDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/TenureDesk.java
@@ -32,8 +32,7 @@
      * @param listener is told of each transition
      */
     public TenureDesk(TenureTerms terms, String service, long granter, TransitionListener listener) {
-        this.tenure =
-                new Population<>(ChartReader.bundled("tenure", VOCABULARY), event -> TenureInput.NONE, listener);
+        this.tenure = new Population<>(ChartReader.bundled("tenure", VOCABULARY), event -> TenureInput.NONE, listener);
         tenure.begin(KEY, TenureData.none(terms, service, granter), 0);
     }
 
@@ -49,7 +48,8 @@
      * @param effects the sink of the effects
      */
     public void serverKnown(ServerLife life, long now, Effects effects) {
-        boolean other = instance().data().life().filter(known -> !known.equals(life)).isPresent();
+        boolean other =
+                instance().data().life().filter(known -> !known.equals(life)).isPresent();
         if (other) {
             serverGone(now, effects);
         }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
@@ -17,7 +17,7 @@
 import org.verbenamast.core.keys.KeyDesk;
 import org.verbenamast.core.keys.KeyDeskSettings;
 import org.verbenamast.core.manifest.Manifest;
-import org.verbenamast.core.manifest.RouteTable;
+import org.verbenamast.core.manifest.ManifestInForce;
 import org.verbenamast.core.manifest.ServiceRules;
 import org.verbenamast.core.model.Zone;
 import org.verbenamast.core.node.Timing;
@@ -56,8 +56,7 @@
     private final KeyDesk keys;
     private final RowWriter membership;
     private final FollowDesk follow;
-    private Optional<Manifest> manifest = Optional.empty();
-    private Optional<RouteTable> routes = Optional.empty();
+    private final ManifestInForce manifest = new ManifestInForce();
     private long nextReport;
     private boolean rosterRead;
 
@@ -104,7 +103,10 @@
         if (row.ref().table() != RowTable.MEMBERS) {
             return;
         }
-        row.content().ifPresentOrElse(content -> roster.put((Member) content), () -> roster.remove(row.ref().key()));
+        row.content()
+                .ifPresentOrElse(
+                        content -> roster.put((Member) content),
+                        () -> roster.remove(row.ref().key()));
     }
 
     private RowRef ownRow() {
@@ -140,11 +142,9 @@
      * @return whether it came into force
      */
     public boolean manifest(Manifest next, long now, Effects effects) {
-        if (manifest.filter(known -> known.version() >= next.version()).isPresent()) {
+        if (!manifest.take(next)) {
             return false;
         }
-        manifest = Optional.of(next);
-        routes = Optional.of(next.routeTable());
         tellGate(now, effects);
         return true;
     }
@@ -193,8 +193,8 @@
 
     /** Returns the run of the server that this node had beside it before it started, where another is there now. */
     private Optional<ServerLife> formerServer() {
-        Optional<ServerLife> former =
-                roster.find(self.node()).map(Member::life).filter(life -> !backend.life().equals(Optional.of(life)));
+        Optional<ServerLife> former = roster.find(self.node()).map(Member::life).filter(life -> !backend.life()
+                .equals(Optional.of(life)));
         return backend.life().isPresent() ? former : Optional.empty();
     }
 
@@ -219,7 +219,8 @@
     }
 
     private void noteEnded(Optional<ServerLife> before, ServerLife life, long now, Effects effects) {
-        Optional<ServerLife> former = before.isPresent() ? before : roster.find(self.node()).map(Member::life);
+        Optional<ServerLife> former =
+                before.isPresent() ? before : roster.find(self.node()).map(Member::life);
         former.filter(other -> !other.equals(life)).ifPresent(other -> keys.serverEnded(other, now, effects));
     }
 
@@ -228,7 +229,7 @@
     }
 
     private Optional<ServiceRules> rules() {
-        return manifest.flatMap(known -> known.service(self.service()));
+        return manifest.service(self.service());
     }
 
     /**
@@ -330,28 +331,19 @@
     /**
      * Returns the manifest in force.
      *
-     * @return the manifest, or nothing before one is known
+     * @return the manifest and its routes
      */
-    public Optional<Manifest> manifest() {
+    public ManifestInForce manifest() {
         return manifest;
     }
 
-    /**
-     * Returns the routes in force.
-     *
-     * @return the table, or nothing before a manifest is known
-     */
-    public Optional<RouteTable> routes() {
-        return routes;
-    }
-
     /**
      * Tells whether this node can take requests: it knows a manifest and the other members.
      *
      * @return whether it is ready
      */
     public boolean ready() {
-        return manifest.isPresent() && rosterRead;
+        return manifest.known() && rosterRead;
     }
 
     /**
--- a/verbenamast-core/src/main/java/org/verbenamast/core/rows/RowReplica.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/rows/RowReplica.java
@@ -49,7 +49,10 @@
         List<StoredRow> gone = new ArrayList<>();
         for (StoredRow known : rows.values()) {
             boolean listed = all.stream().anyMatch(row -> row.ref().equals(known.ref()));
-            if (!listed && known.version() < version && known.content().isPresent() && known.ref().table().followed()) {
+            if (!listed
+                    && known.version() < version
+                    && known.content().isPresent()
+                    && known.ref().table().followed()) {
                 gone.add(new StoredRow(known.ref(), version, java.util.Optional.empty()));
             }
         }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/rows/RowWriter.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/rows/RowWriter.java
@@ -15,7 +15,8 @@
 
     /** The names that the chart file may use. */
     public static final Vocabulary<WriterEvent, WriterGuard, WriterAction, WriterTimer, WriterTag> VOCABULARY =
-            new Vocabulary<>(WriterEvent.class, WriterGuard.class, WriterAction.class, WriterTimer.class, WriterTag.class);
+            new Vocabulary<>(
+                    WriterEvent.class, WriterGuard.class, WriterAction.class, WriterTimer.class, WriterTag.class);
 
     private final StorePurpose purpose;
     private final LongFunction<List<RowChange>> wanted;
--- a/verbenamast-core/src/main/java/org/verbenamast/core/rows/WriterAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/rows/WriterAction.java
@@ -30,9 +30,10 @@
     TAKE_WRITTEN {
         @Override
         public WriterData apply(WriterData data, WriterInput input, long now, Effects effects) {
-            data.replica().take(data.changes().stream()
-                    .map(change -> change.committed(input.version()))
-                    .toList());
+            data.replica()
+                    .take(data.changes().stream()
+                            .map(change -> change.committed(input.version()))
+                            .toList());
             return data;
         }
     },
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowDesk.java
@@ -50,8 +50,7 @@
      * @param now the monotonic time, in nanoseconds
      * @param effects the sink of the effects
      */
-    public void ended(
-            Followed table, long ticket, FollowEvent event, FollowInput input, long now, Effects effects) {
+    public void ended(Followed table, long ticket, FollowEvent event, FollowInput input, long now, Effects effects) {
         if (tables.find(table).data().ticket() == ticket) {
             tables.fire(table, event, input, now, effects);
         }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowTimer.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowTimer.java
@@ -32,6 +32,6 @@
 
     /** First pause after a failed call, in milliseconds. */
     private static final long FIRST_PAUSE_MILLIS = 100;
-    /** Longest pause after failed calls, in milliseconds; rows are to be known within two seconds of an outage's end. */
+    /** Longest pause after failed calls, in milliseconds; rows are known within two seconds of an outage's end. */
     private static final long MOST_PAUSE_MILLIS = 600;
 }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
@@ -83,8 +83,7 @@
         this.store = new StoreClient(eventloop, settings.store(), this);
         this.peers = new PeerPool(eventloop);
         this.backend = new BackendPool(eventloop, settings.server());
-        this.callers =
-                new CallerServer(eventloop, settings.callers(), settings.service(), core, loop, peers);
+        this.callers = new CallerServer(eventloop, settings.callers(), settings.service(), core, loop, peers);
         this.gate = new GateServer(eventloop, settings.peers(), core, loop, backend);
         this.front = new PlatformFront(eventloop, settings, core, loop, () -> stoppingSince == 0);
         this.heat = new HeatSender(peers);
@@ -109,7 +108,13 @@
         boolean request = chart.endsWith("-request");
         boolean same = transition.to() == null || transition.to() == transition.from();
         if (!request && !same) {
-            LOG.info("{} {}: {} -> {} on {}", chart, subject, transition.from().name(), transition.to().name(), event);
+            LOG.info(
+                    "{} {}: {} -> {} on {}",
+                    chart,
+                    subject,
+                    transition.from().name(),
+                    transition.to().name(),
+                    event);
         }
     }
 
@@ -206,7 +211,10 @@
     public void manifest(Manifest manifest) {
         loop.run((now, effects) -> {
             if (core.manifest(manifest, now, effects)) {
-                LOG.info("manifest {} in force, {} routes", manifest.version(), manifest.routes().size());
+                LOG.info(
+                        "manifest {} in force, {} routes",
+                        manifest.version(),
+                        manifest.routes().size());
             }
         });
     }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/backend/BackendCall.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/backend/BackendCall.java
@@ -19,7 +19,6 @@
 import org.verbenamast.core.node.Timing;
 import org.verbenamast.platform.RequestFields;
 import org.verbenamast.relay.RelayLoop;
-import org.verbenamast.relay.net.HttpCodec;
 import org.verbenamast.relay.net.HttpLink;
 import org.verbenamast.wire.generated.RelayField;
 import org.verbenamast.wire.generated.RelayOpen;
@@ -128,8 +127,8 @@
     }
 
     private HttpRequest head() {
-        HttpRequest head = new DefaultHttpRequest(
-                HttpVersion.HTTP_1_1, HttpMethod.valueOf(open.getMethod()), open.getTarget());
+        HttpRequest head =
+                new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.valueOf(open.getMethod()), open.getTarget());
         HttpHeaders headers = head.headers();
         headers.set(HttpHeaderNames.HOST, open.getHost());
         List<RelayField> fields = open.getFieldsList();
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
@@ -134,7 +134,7 @@
                 request.service(),
                 request.key(),
                 (RelayLoop.now() - request.arrivedAt()) / NANOS_PER_MILLI,
-                core.manifest().map(manifest -> manifest.version()).orElse(0L));
+                core.manifest().version());
     }
 
     private void openTry(EntryEffect.OpenTry open) {
@@ -182,8 +182,7 @@
 
     @Override
     public void refused(Refusal reason, long retryAfterMillis, GateLoad told) {
-        loop.run((now, effects) ->
-                core.entry().refused(request.id(), reason, retryAfterMillis, told, now, effects));
+        loop.run((now, effects) -> core.entry().refused(request.id(), reason, retryAfterMillis, told, now, effects));
     }
 
     @Override
@@ -208,8 +207,7 @@
         if (!told) {
             told = true;
             boolean failed = answer.getStatus() >= SERVER_ERROR;
-            loop.run((now, effects) ->
-                    core.entry().answered(request.id(), failed, replayable, load, now, effects));
+            loop.run((now, effects) -> core.entry().answered(request.id(), failed, replayable, load, now, effects));
         }
     }
 
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerServer.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerServer.java
@@ -24,7 +24,6 @@
 import org.verbenamast.core.entry.EntryEffect;
 import org.verbenamast.core.entry.EntryRequest;
 import org.verbenamast.core.keys.KeyRange;
-import org.verbenamast.core.manifest.Manifest;
 import org.verbenamast.core.manifest.RequestLimits;
 import org.verbenamast.core.manifest.Route;
 import org.verbenamast.core.manifest.ServiceRules;
@@ -79,15 +78,14 @@
         this.pool = Objects.requireNonNull(pool, "pool");
         this.server = SimpleServer.builder(
                         eventloop,
-                        socket -> connections.add(
-                                new CallerConnection(this, socket, (int) limits().maxHeaderBytes())))
+                        socket -> connections.add(new CallerConnection(this, socket, (int) limits().maxHeaderBytes())))
                 .withSocketSettings(SETTINGS)
                 .withListenAddress(new InetSocketAddress(address.host(), address.port()))
                 .build();
     }
 
     private RequestLimits limits() {
-        return core.manifest().map(Manifest::limits).orElse(RequestLimits.DEFAULT);
+        return core.manifest().limits();
     }
 
     /**
@@ -150,7 +148,7 @@
 
     /** Begins a request, or answers it at once. */
     void begin(CallerConnection connection, HttpRequest head) {
-        if (core.routes().isEmpty()) {
+        if (core.manifest().routes().isEmpty()) {
             connection.answer(
                     HttpResponseStatus.SERVICE_UNAVAILABLE, RequestFields.retryAfter(NO_MANIFEST_RETRY_MILLIS));
             return;
@@ -160,12 +158,11 @@
             return;
         }
         String host = head.headers().get(HttpHeaderNames.HOST, "");
-        Optional<Route> route = core.routes().get().find(host, head.uri());
+        Optional<Route> route = core.manifest().routes().get().find(host, head.uri());
         String attemptId = head.headers().get(RequestFields.ATTEMPT_ID, "");
         if (route.isEmpty() || attemptId.isEmpty()) {
             LOG.info("entry refused (no route or id): request {} host {} target {}", attemptId, host, head.uri());
-            connection.answer(
-                    route.isEmpty() ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.BAD_REQUEST, "");
+            connection.answer(route.isEmpty() ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.BAD_REQUEST, "");
             return;
         }
         begin(connection, head, route.get(), attemptId);
@@ -174,8 +171,8 @@
     private void begin(CallerConnection connection, HttpRequest head, Route route, String attemptId) {
         long now = RelayLoop.now();
         String target = route.service(ThreadLocalRandom.current().nextDouble());
-        long deadlineMillis =
-                Math.min(whole(head.headers().get(RequestFields.TIME_LEFT), USUAL_DEADLINE_MILLIS), route.timeoutMillis());
+        long deadlineMillis = Math.min(
+                whole(head.headers().get(RequestFields.TIME_LEFT), USUAL_DEADLINE_MILLIS), route.timeoutMillis());
         EntryRequest request = new EntryRequest(
                 ++lastId,
                 attemptId,
@@ -192,10 +189,8 @@
     }
 
     private OptionalInt key(HttpRequest head, String target) {
-        boolean keyed = core.manifest()
-                .flatMap(manifest -> manifest.service(target))
-                .filter(ServiceRules::keyed)
-                .isPresent();
+        boolean keyed =
+                core.manifest().service(target).filter(ServiceRules::keyed).isPresent();
         long key = whole(head.headers().get(RequestFields.KEY), -1);
         return keyed && key >= 0 && key <= KeyRange.MAX_KEY ? OptionalInt.of((int) key) : OptionalInt.empty();
     }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/RelayTry.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/RelayTry.java
@@ -91,14 +91,17 @@
 
     void body(byte[] bytes) {
         if (!ended && bytes.length > 0) {
-            link.send(RelayFrame.newBuilder().setData(ByteString.copyFrom(bytes)).build());
+            link.send(
+                    RelayFrame.newBuilder().setData(ByteString.copyFrom(bytes)).build());
         }
     }
 
     void endBody() {
         if (!ended && !bodyEnded) {
             bodyEnded = true;
-            link.send(RelayFrame.newBuilder().setEnd(RelayEnd.getDefaultInstance()).build());
+            link.send(RelayFrame.newBuilder()
+                    .setEnd(RelayEnd.getDefaultInstance())
+                    .build());
         }
     }
 
@@ -118,8 +121,9 @@
                         refused.getRetryAfterMillis(),
                         RelayFrames.load(refused.getLoad()));
             }
-            case ANSWER -> observer.answer(
-                    frame.getAnswer(), RelayFrames.load(frame.getAnswer().getLoad()));
+            case ANSWER ->
+                observer.answer(
+                        frame.getAnswer(), RelayFrames.load(frame.getAnswer().getLoad()));
             case DATA -> observer.piece(frame.getData().toByteArray());
             case END -> {
                 finish();
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/FrameLink.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/FrameLink.java
@@ -51,8 +51,7 @@
     }
 
     private final ITcpSocket socket;
-    private final FrameCodec<RelayFrame> codec =
-            new FrameCodec<>(RelayFrame.getDefaultInstance(), MAX_FRAME_BYTES);
+    private final FrameCodec<RelayFrame> codec = new FrameCodec<>(RelayFrame.getDefaultInstance(), MAX_FRAME_BYTES);
     private final Outflow outflow;
     private final Inflow inflow;
     private Taker taker;
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateExchange.java
@@ -7,7 +7,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.verbenamast.core.admission.GateLoad;
 import org.verbenamast.core.admission.GateRequest;
 import org.verbenamast.core.admission.Refusal;
 import org.verbenamast.relay.RelayLoop;
@@ -148,8 +147,7 @@
                 .setLoad(load());
         head.headers().forEach(field -> {
             if (!HttpCodec.isHopField(field.getKey()) && !"content-length".equalsIgnoreCase(field.getKey())) {
-                answer.addFields(
-                        RelayField.newBuilder().setName(field.getKey()).setValue(field.getValue()));
+                answer.addFields(RelayField.newBuilder().setName(field.getKey()).setValue(field.getValue()));
             }
         });
         link.send(RelayFrame.newBuilder().setAnswer(answer).build());
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
@@ -69,20 +69,25 @@
     }
 
     private Promise<StoreResult> commit(StoreEffect.Commit commit) {
-        List<RawRow> expected = commit.changes().stream().map(StoreRows::expected).toList();
+        List<RawRow> expected =
+                commit.changes().stream().map(StoreRows::expected).toList();
         List<RawRow> writes = commit.changes().stream()
                 .filter(change -> change.content().isPresent() || change.expectedVersion() != 0)
                 .map(StoreRows::written)
                 .toList();
-        return connection.send(StoreMessage.commit(expected, writes), CALL_MILLIS).map(answer -> {
-            if (answer.ok()) {
-                return StoreMessage.committed(answer.body()).<StoreResult>fold(this::unreadable, StoreResult.Committed::new);
-            }
-            if (answer.conflict()) {
-                return StoreMessage.rows(answer.body()).<StoreResult>fold(this::unreadable, rows -> conflict(commit, rows));
-            }
-            return new StoreResult.Failed(answer.failure());
-        });
+        return connection
+                .send(StoreMessage.commit(expected, writes), CALL_MILLIS)
+                .map(answer -> {
+                    if (answer.ok()) {
+                        return StoreMessage.committed(answer.body())
+                                .<StoreResult>fold(this::unreadable, StoreResult.Committed::new);
+                    }
+                    if (answer.conflict()) {
+                        return StoreMessage.rows(answer.body())
+                                .<StoreResult>fold(this::unreadable, rows -> conflict(commit, rows));
+                    }
+                    return new StoreResult.Failed(answer.failure());
+                });
     }
 
     private StoreResult unreadable(PlatformFault fault) {
@@ -91,7 +96,8 @@
     }
 
     private static StoreResult conflict(StoreEffect.Commit commit, Rows rows) {
-        List<RowRef> refs = commit.changes().stream().map(change -> change.ref()).toList();
+        List<RowRef> refs =
+                commit.changes().stream().map(change -> change.ref()).toList();
         return new StoreResult.Conflicted(withMissing(refs, StoreRows.decode(rows.rows()), rows.version()));
     }
 
@@ -188,7 +194,8 @@
                 return;
             }
             takeChanged(table, rows.get().rows());
-            FollowInput input = new FollowInput(rows.get().version(), rows.get().rows().isEmpty());
+            FollowInput input =
+                    new FollowInput(rows.get().version(), rows.get().rows().isEmpty());
             observer.followed(table, await.ticket(), FollowEvent.CHANGED, input);
         });
     }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreRows.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreRows.java
@@ -70,7 +70,11 @@
         }
         var content = RelayRows.decode(ref.table(), raw.value().get());
         if (content.isLeft()) {
-            LOG.warn("row {} of version {} can't be read: {}", raw.key(), raw.version(), content.getLeft().getMessage());
+            LOG.warn(
+                    "row {} of version {} can't be read: {}",
+                    raw.key(),
+                    raw.version(),
+                    content.getLeft().getMessage());
             return Optional.empty();
         }
         RowContent read = content.get();
