--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyPlan.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyPlan.java
@@ -108,12 +108,7 @@
 
     /** Returns the first keys of a range up to a weight, one key at least. */
     private KeyRange head(KeyRange range, double weight) {
-        double sum = heat.of(range.from());
-        int to = range.from();
-        while (to < range.to() && sum + heat.of(to + 1) <= weight) {
-            to++;
-            sum += heat.of(to);
-        }
+        int to = heat.lastWithin(range, weight);
         boolean nearlyAll = range.to() - to < (range.size() >> NEARLY_ALL_SHIFT);
         return new KeyRange(range.from(), nearlyAll ? range.to() : to);
     }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerConnection.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerConnection.java
@@ -6,6 +6,7 @@
 
 import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.promise.Promise;
+import io.activej.reactor.Reactor;
 import io.activej.promise.SettablePromise;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -55,7 +56,7 @@
         this.server = Objects.requireNonNull(server, "server");
         this.socket = Objects.requireNonNull(socket, "socket");
         this.codec = HttpCodec.server(maxHeadBytes);
-        this.outflow = new Outflow(socket, () -> ended(false));
+        this.outflow = new Outflow(Reactor.getCurrentReactor(), socket, () -> ended(false));
         this.inflow = new Inflow(socket, this);
         inflow.start();
     }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/net/HttpLink.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/net/HttpLink.java
@@ -8,6 +8,7 @@
 import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.promise.Promise;
+import io.activej.reactor.Reactor;
 import io.activej.reactor.net.SocketSettings;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -65,7 +66,7 @@
 
     private HttpLink(ITcpSocket socket) {
         this.socket = Objects.requireNonNull(socket, "socket");
-        this.outflow = new Outflow(socket, () -> end(false));
+        this.outflow = new Outflow(Reactor.getCurrentReactor(), socket, () -> end(false));
         this.inflow = new Inflow(socket, new Inflow.Taker() {
             @Override
             public Promise<Void> take(byte[] bytes) {
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/net/Outflow.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/net/Outflow.java
@@ -8,13 +8,18 @@
 import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
+import io.activej.reactor.Reactor;
 
-/** Writes to a socket in order and tells when little enough waits that more may be produced. */
+/**
+ * Writes to a socket in order and tells when little enough waits that more may be produced. What is written while one
+ * event is handled goes out in one call of the system.
+ */
 public final class Outflow {
 
     /** Bytes that may wait before the producer has to pause; a few round trips of the fleet's links. */
     private static final int MOST_WAITING = 64 * 1024;
 
+    private final Reactor reactor;
     private final ITcpSocket socket;
     private final Runnable broken;
     private final Deque<byte[]> waiting = new ArrayDeque<>();
@@ -26,10 +31,12 @@
     /**
      * Makes an outflow.
      *
+     * @param reactor the one event loop of the process
      * @param socket the socket
      * @param broken is run once where writing fails
      */
-    public Outflow(ITcpSocket socket, Runnable broken) {
+    public Outflow(Reactor reactor, ITcpSocket socket, Runnable broken) {
+        this.reactor = Objects.requireNonNull(reactor, "reactor");
         this.socket = Objects.requireNonNull(socket, "socket");
         this.broken = Objects.requireNonNull(broken, "broken");
     }
@@ -46,7 +53,8 @@
         waiting.add(bytes);
         waitingBytes += bytes.length;
         if (!writing) {
-            writeOn();
+            writing = true;
+            reactor.post(this::writeOn);
         }
     }
 
@@ -74,6 +82,10 @@
     }
 
     private void writeOn() {
+        if (socket.isClosed()) {
+            writing = false;
+            return;
+        }
         if (waiting.isEmpty()) {
             writing = false;
             if (closing) {
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/FrameLink.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/FrameLink.java
@@ -8,6 +8,7 @@
 import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.promise.Promise;
+import io.activej.reactor.Reactor;
 import io.activej.reactor.net.SocketSettings;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -59,7 +60,7 @@
 
     FrameLink(ITcpSocket socket) {
         this.socket = Objects.requireNonNull(socket, "socket");
-        this.outflow = new Outflow(socket, this::end);
+        this.outflow = new Outflow(Reactor.getCurrentReactor(), socket, this::end);
         this.inflow = new Inflow(socket, new Inflow.Taker() {
             @Override
             public Promise<Void> take(byte[] bytes) {
--- a/verbenamast-standins/src/main/java/org/verbenamast/standins/StandinMain.java
+++ b/verbenamast-standins/src/main/java/org/verbenamast/standins/StandinMain.java
@@ -5,10 +5,14 @@
 import com.beust.jcommander.JCommander;
 import com.beust.jcommander.ParameterException;
 import io.activej.eventloop.Eventloop;
+import org.verbenamast.standins.beats.BeatsOptions;
+import org.verbenamast.standins.beats.BeatsStandin;
 import org.verbenamast.standins.platform.PlatformOptions;
 import org.verbenamast.standins.platform.PlatformStandin;
 import org.verbenamast.standins.proxy.ProxyOptions;
 import org.verbenamast.standins.proxy.ProxyStandin;
+import org.verbenamast.standins.rows.RowsOptions;
+import org.verbenamast.standins.rows.RowsStandin;
 import org.verbenamast.standins.server.ServerOptions;
 import org.verbenamast.standins.server.ServerStandin;
 
@@ -30,10 +34,14 @@
         PlatformOptions platform = new PlatformOptions();
         ServerOptions server = new ServerOptions();
         ProxyOptions proxy = new ProxyOptions();
+        RowsOptions rows = new RowsOptions();
+        BeatsOptions beats = new BeatsOptions();
         JCommander commander = JCommander.newBuilder()
                 .addCommand("platform", platform)
                 .addCommand("server", server)
                 .addCommand("proxy", proxy)
+                .addCommand("rows", rows)
+                .addCommand("beats", beats)
                 .build();
         try {
             commander.parse(args);
@@ -48,6 +56,8 @@
         switch (String.valueOf(commander.getParsedCommand())) {
             case "platform" -> new PlatformStandin(eventloop, platform).listen();
             case "server" -> new ServerStandin(eventloop, server).listen();
+            case "rows" -> new RowsStandin(eventloop, rows).listen();
+            case "beats" -> new BeatsStandin(eventloop, beats).listen();
             case "proxy" -> new ProxyStandin(eventloop, proxy).listen();
             default -> {
                 commander.usage();
--- /dev/null
+++ b/verbenamast-standins/src/main/java/org/verbenamast/standins/rows/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in for the users' store of rows. */
+package org.verbenamast.standins.rows;
