Relay: a stopping node ends before its grace period with nothing at work; keys wait for calm; a lost host is seen as lost

Ruled out: the lease itself (KeyScheduleTest). Change: after 2.6 s a stopping node refuses everything and ends when idle; the calm is counted from the first look; an answer for a server that is not there counts as a failure; a lease lasts 8.5 s (12 before).

--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/GateDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/GateDesk.java
@@ -36,6 +36,7 @@
     private final ServiceTimes times = new ServiceTimes();
     private Optional<ServerStanding> server = Optional.empty();
     private boolean stopping;
+    private boolean shut;
 
     /**
      * Makes a gate without a server.
@@ -72,6 +73,17 @@
         sweep(now, effects);
     }
 
+    /**
+     * Takes in no new requests at all: the node is about to end, and what the server runs is to end before it.
+     *
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void shut(long now, Effects effects) {
+        shut = true;
+        sweep(now, effects);
+    }
+
     /**
      * Takes a request.
      *
@@ -109,7 +121,7 @@
         if (standing.leaving() && (!keyed || now >= standing.keyedUntil())) {
             return Optional.of(Refusal.LEAVING);
         }
-        if (stopping && !keyed) {
+        if (shut || stopping && !keyed) {
             return Optional.of(Refusal.STOPPING);
         }
         if (rules.evacuated()) {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryDesk.java
@@ -127,6 +127,9 @@
         if (data.pausing()) {
             return EntryInput.routed(Optional.empty(), true, data.refusal());
         }
+        if (!reachable(owner.get())) {
+            return EntryInput.routed(Optional.empty(), true, Refusal.NODE_UNREACHED);
+        }
         return EntryInput.routed(owner, true, Refusal.NO_SERVER);
     }
 
@@ -154,7 +157,9 @@
         }
         Member member = instance.data().target().orElseThrow();
         loads.told(member.node(), load, now);
-        health.saw(idOf(member), HealthEvent.SUCCEEDED, now);
+        // The address of a host that is gone may belong to another one, which answers for a server that it never had.
+        boolean there = reason != Refusal.WRONG_SERVER;
+        health.saw(idOf(member), there ? HealthEvent.SUCCEEDED : HealthEvent.FAILED, now);
         boolean budget = reason.arrivals() == 0
                 || budget(instance.data().request().service()).spend();
         fire(id, EntryEvent.REFUSED, EntryInput.refused(reason, retryAfterMillis, budget), now, effects);
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyDesk.java
@@ -259,7 +259,6 @@
             return;
         }
         nextReview = now + REVIEW_EVERY;
-        noteMembers(now);
         suspectOwners(now, effects);
         writer.review(now, effects);
     }
@@ -364,6 +363,7 @@
     }
 
     private KeyMap planned(KeyMap map, long now) {
+        noteMembers(now);
         boolean first = map.lastEpoch() == 0;
         if (!plansHere() || first && now - calmSince < FIRST_DEAL_CALM) {
             return map;
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/TenureTerms.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/TenureTerms.java
@@ -13,10 +13,10 @@
 public record TenureTerms(long leaseMillis, long renewMillis, long retryMillis, long holdMillis) {
 
     /**
-     * A lease of 12 s outlasts a store outage of 9 s that begins just before a renewal is due; a hold of 4 s outlasts
+     * A lease of 8.5 s outlasts a store outage of 6 s and lets keys of a lost host move within 10 s; a hold of 4 s outlasts
      * the restart of a node, about 2 s, and a lost heartbeat.
      */
-    public static final TenureTerms DEFAULT = new TenureTerms(12_000, 2_800, 300, 4_000);
+    public static final TenureTerms DEFAULT = new TenureTerms(8_500, 2_000, 300, 4_000);
 
     /** Rate at which two clocks may drift apart, in percent; instances of the platform run up to 2 % slow. */
     private static final long DRIFT_PERCENT = 3;
--- /dev/null
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/admission/GateDeskTest.java
@@ -0,0 +1,238 @@
+package org.verbenamast.core.admission;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+
+import org.junit.jupiter.api.Test;
+import org.verbenamast.core.chart.TransitionListener;
+import org.verbenamast.core.effect.Effect;
+import org.verbenamast.core.manifest.RequestKind;
+import org.verbenamast.core.node.Timing;
+import org.verbenamast.core.roster.ServerLife;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class GateDeskTest {
+
+    private static final ServerLife LIFE = new ServerLife("i-1", 1);
+
+    /** Rules that a test can change. */
+    private static final class Rules implements GateRules {
+        private boolean evacuated;
+
+        @Override
+        public boolean evacuated() {
+            return evacuated;
+        }
+
+        @Override
+        public boolean holds(int key, long now) {
+            return key < 100;
+        }
+
+        @Override
+        public boolean suspect(long id) {
+            return false;
+        }
+    }
+
+    private final Rules rules = new Rules();
+    private final GateDesk gate = new GateDesk(rules, TransitionListener.NONE);
+    private final List<Effect> effects = new ArrayList<>();
+    private long now = Timing.nanos(1_000);
+    private long lastId;
+
+    private void server(int slots, long coldMillis, double coldPerSecond, long keyedUntil) {
+        long coldUntil = now + Timing.nanos(coldMillis);
+        ServerStanding standing = new ServerStanding(LIFE, "s", slots, coldUntil, coldPerSecond, keyedUntil);
+        gate.server(Optional.of(standing), now, effects::add);
+    }
+
+    private long open(int priority, long objectiveMillis, OptionalInt key) {
+        long id = ++lastId;
+        GateRequest request = new GateRequest(
+                id,
+                "attempt-" + id,
+                "s",
+                LIFE,
+                RequestKind.SAFE,
+                priority,
+                key,
+                true,
+                now,
+                now + Timing.nanos(objectiveMillis),
+                now + Timing.nanos(2_000));
+        gate.open(request, now, effects::add);
+        return id;
+    }
+
+    private List<Long> dispatched() {
+        return effects.stream()
+                .filter(GateEffect.Dispatch.class::isInstance)
+                .map(effect -> ((GateEffect) effect).id())
+                .toList();
+    }
+
+    private Refusal refusalOf(long id) {
+        return effects.stream()
+                .filter(effect -> effect instanceof GateEffect.Refuse refuse && refuse.id() == id)
+                .map(effect -> ((GateEffect.Refuse) effect).reason())
+                .findFirst()
+                .orElse(null);
+    }
+
+    @Test
+    void should_run_no_more_than_the_slots_when_many_requests_come() {
+        // given
+        server(2, 0, 0, 0);
+
+        // when
+        long first = open(1, 500, OptionalInt.empty());
+        long second = open(1, 500, OptionalInt.empty());
+        long third = open(1, 500, OptionalInt.empty());
+
+        // then
+        assertThat(dispatched()).containsExactly(first, second);
+        gate.finished(first, true, now, effects::add);
+        assertThat(dispatched()).containsExactly(first, second, third);
+    }
+
+    @Test
+    void should_pass_on_the_most_urgent_first_when_a_slot_gets_free() {
+        // given
+        server(1, 0, 0, 0);
+        long running = open(1, 500, OptionalInt.empty());
+        open(2, 500, OptionalInt.empty());
+        long urgent = open(0, 500, OptionalInt.empty());
+
+        // when
+        gate.finished(running, true, now, effects::add);
+
+        // then
+        assertThat(dispatched()).containsExactly(running, urgent);
+    }
+
+    @Test
+    void should_prefer_what_can_meet_its_objective_when_another_is_late_already() {
+        // given
+        server(1, 0, 0, 0);
+        long running = open(1, 500, OptionalInt.empty());
+        open(1, 10, OptionalInt.empty());
+        long inTime = open(1, 800, OptionalInt.empty());
+
+        // when
+        now += Timing.nanos(50);
+        gate.finished(running, true, now, effects::add);
+
+        // then
+        assertThat(dispatched()).containsExactly(running, inTime);
+    }
+
+    @Test
+    void should_send_no_more_in_a_second_than_a_cold_server_bears() {
+        // given
+        server(9, 3_000, 4, 0);
+
+        // when
+        for (int i = 0; i < 8; i++) {
+            open(1, 1_900, OptionalInt.empty());
+            now += Timing.nanos(20);
+        }
+
+        // then
+        assertThat(dispatched()).hasSize(4);
+    }
+
+    @Test
+    void should_refuse_keys_that_the_server_does_not_hold() {
+        // given
+        server(9, 0, 0, 0);
+
+        // when
+        long held = open(1, 500, OptionalInt.of(7));
+        long other = open(1, 500, OptionalInt.of(700));
+
+        // then
+        assertThat(dispatched()).containsExactly(held);
+        assertThat(refusalOf(other)).isEqualTo(Refusal.NOT_OWNER);
+    }
+
+    @Test
+    void should_serve_only_held_keys_until_the_time_is_over_when_the_server_leaves() {
+        // given
+        server(9, 0, 0, now + Timing.nanos(1_800));
+
+        // when
+        long plain = open(1, 500, OptionalInt.empty());
+        long keyed = open(1, 500, OptionalInt.of(7));
+        now += Timing.nanos(1_800);
+        long late = open(1, 500, OptionalInt.of(7));
+
+        // then
+        assertThat(refusalOf(plain)).isEqualTo(Refusal.LEAVING);
+        assertThat(dispatched()).containsExactly(keyed);
+        assertThat(refusalOf(late)).isEqualTo(Refusal.LEAVING);
+    }
+
+    @Test
+    void should_refuse_what_waits_when_the_zone_is_taken_out() {
+        // given
+        server(1, 0, 0, 0);
+        open(1, 500, OptionalInt.empty());
+        long waiting = open(1, 500, OptionalInt.empty());
+
+        // when
+        rules.evacuated = true;
+        server(1, 0, 0, 0);
+
+        // then
+        assertThat(refusalOf(waiting)).isEqualTo(Refusal.EVACUATED);
+    }
+
+    @Test
+    void should_let_running_requests_end_and_take_no_new_ones_when_the_node_is_about_to_end() {
+        // given
+        server(9, 0, 0, 0);
+        long running = open(1, 500, OptionalInt.of(7));
+
+        // when
+        gate.shut(now, effects::add);
+        long late = open(1, 500, OptionalInt.of(7));
+
+        // then
+        assertThat(refusalOf(late)).isEqualTo(Refusal.STOPPING);
+        assertThat(effects).noneMatch(effect -> effect instanceof GateEffect.Abandon);
+        assertThat(gate.idle()).isFalse();
+        gate.finished(running, true, now, effects::add);
+        assertThat(gate.idle()).isTrue();
+    }
+
+    @Test
+    void should_stop_the_server_when_the_sender_has_left() {
+        // given
+        server(9, 0, 0, 0);
+        long running = open(1, 500, OptionalInt.empty());
+
+        // when
+        gate.withdrawn(running, now, effects::add);
+
+        // then
+        assertThat(effects).contains(new GateEffect.Abandon(running));
+    }
+
+    @Test
+    void should_tell_the_sender_when_the_time_of_a_running_request_is_over() {
+        // given
+        server(9, 0, 0, 0);
+        long running = open(1, 500, OptionalInt.empty());
+
+        // when
+        now += Timing.nanos(2_001);
+        gate.advance(now, effects::add);
+
+        // then
+        assertThat(effects).contains(new GateEffect.Overdue(running));
+    }
+}
--- /dev/null
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/keys/KeyDeskTest.java
@@ -0,0 +1,81 @@
+package org.verbenamast.core.keys;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+import org.verbenamast.core.chart.TransitionListener;
+import org.verbenamast.core.effect.Effect;
+import org.verbenamast.core.model.Address;
+import org.verbenamast.core.model.Zone;
+import org.verbenamast.core.node.Timing;
+import org.verbenamast.core.roster.Heartbeat;
+import org.verbenamast.core.roster.Member;
+import org.verbenamast.core.roster.Roster;
+import org.verbenamast.core.roster.ServerLife;
+import org.verbenamast.core.roster.ServerState;
+import org.verbenamast.core.rows.RowReplica;
+import org.verbenamast.core.rows.StoreEffect;
+import org.verbenamast.core.rows.StorePurpose;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class KeyDeskTest {
+
+    private static final String SERVICE = "stock";
+
+    private final Roster roster = new Roster();
+    private final List<Effect> effects = new ArrayList<>();
+    private final KeyDesk desk = new KeyDesk(
+            new KeyDeskSettings("node-a", 7, SERVICE, TenureTerms.DEFAULT, 0),
+            roster,
+            new RowReplica(row -> {}),
+            member -> true,
+            TransitionListener.NONE);
+
+    private static Member member(String node) {
+        ServerLife life = new ServerLife("server-of-" + node, 1);
+        return new Member(
+                node, new Address("127.0.0.1", 1), new Zone("z"), SERVICE, life, 9, ServerState.READY);
+    }
+
+    private List<KeyMap> writtenMaps() {
+        List<KeyMap> maps = new ArrayList<>();
+        for (Effect effect : effects) {
+            if (effect instanceof StoreEffect.Commit commit && commit.purpose() == StorePurpose.KEY_MAP) {
+                maps.add((KeyMap) commit.changes().get(0).content().orElseThrow());
+            }
+        }
+        return maps;
+    }
+
+    private void runUntil(long fromMillis, long toMillis) {
+        for (long millis = fromMillis; millis <= toMillis; millis += 50) {
+            desk.advance(Timing.nanos(millis), effects::add);
+        }
+    }
+
+    @Test
+    void should_deal_keys_to_all_when_members_join_one_after_another() {
+        // given
+        roster.put(member("node-a"));
+        ServerLife life = member("node-a").life();
+        Heartbeat beat = new Heartbeat(
+                life, SERVICE, "127.0.0.1:1", 9, ServerState.READY, 0, 1, List.of(), List.of());
+        desk.heartbeat(beat, Timing.nanos(10_000), effects::add);
+        runUntil(10_000, 11_000);
+        assertThat(writtenMaps()).isEmpty();
+
+        // when
+        roster.put(member("node-b"));
+        runUntil(11_050, 12_400);
+        assertThat(writtenMaps()).isEmpty();
+        runUntil(12_450, 13_000);
+
+        // then
+        assertThat(writtenMaps()).hasSize(1);
+        KeyMap map = writtenMaps().get(0);
+        assertThat(map.isOwner(member("node-a").life())).isTrue();
+        assertThat(map.isOwner(member("node-b").life())).isTrue();
+    }
+}
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
@@ -49,7 +49,7 @@
     /** Difference between the clocks that may be a suspension of the host, in milliseconds. */
     private static final long SUSPENSION_MILLIS = 200;
     /** Time before the end of the grace period at which the process ends in any case, in milliseconds. */
-    private static final long END_MARGIN_MILLIS = 700;
+    private static final long END_MARGIN_MILLIS = 300;
     /** Time for which a stopping node still takes requests, in milliseconds; callers learn of it within two seconds. */
     private static final long STILL_TAKING_MILLIS = 2_600;
 
@@ -77,6 +77,7 @@
         this.eventloop = Eventloop.builder()
                 .withCurrentThread()
                 .withTimeProvider(() -> System.nanoTime() / Timing.NANOS_PER_MILLI)
+                .withFatalErrorHandler((e, context) -> LOG.error("a fault in this program; the node goes on", e))
                 .build();
         this.core = new RelayCore(coreSettings(settings), RelayProcess::logTransition);
         this.loop = new RelayLoop(eventloop, core, this::run);
@@ -143,6 +144,10 @@
                 loop.run(core::suspended);
             }
             callers.closeIdle();
+            if (stoppingSince != 0 && stoppingMillis() >= STILL_TAKING_MILLIS) {
+                callers.refuseNew();
+                loop.run(core.gate()::shut);
+            }
             if (stoppingSince != 0 && mayEnd()) {
                 LOG.info("node {} stopped", settings.node());
                 eventloop.breakEventloop();
@@ -161,8 +166,12 @@
         }
     }
 
+    private long stoppingMillis() {
+        return (RelayLoop.now() - stoppingSince) / Timing.NANOS_PER_MILLI;
+    }
+
     private boolean mayEnd() {
-        long since = (RelayLoop.now() - stoppingSince) / Timing.NANOS_PER_MILLI;
+        long since = stoppingMillis();
         long last = settings.graceSeconds() * 1_000 - END_MARGIN_MILLIS;
         boolean idle = callers.idle() && core.gate().idle();
         return since >= last || since >= STILL_TAKING_MILLIS && idle;
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerServer.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerServer.java
@@ -44,8 +44,8 @@
 
     /** Time a caller waits who names no deadline, in milliseconds; routes usually set less. */
     private static final long USUAL_DEADLINE_MILLIS = 30_000;
-    /** What a caller who comes before the manifest is told, in milliseconds. */
-    private static final long NO_MANIFEST_RETRY_MILLIS = 500;
+    /** What a caller who comes before the manifest or at the node's end is told, in milliseconds. */
+    private static final long NOT_TAKING_RETRY_MILLIS = 500;
 
     private static final SocketSettings SETTINGS =
             SocketSettings.builder().withTcpNoDelay(true).build();
@@ -58,6 +58,7 @@
     private final Map<Long, CallerExchange> exchanges = new HashMap<>();
     private final Set<CallerConnection> connections = new HashSet<>();
     private boolean stopping;
+    private boolean refusing;
     private long lastId;
 
     /**
@@ -102,6 +103,11 @@
         stopping = true;
     }
 
+    /** Refuses each further request at once: the node is about to end, and no request is to be cut off by it. */
+    public void refuseNew() {
+        refusing = true;
+    }
+
     boolean stopping() {
         return stopping;
     }
@@ -148,9 +154,9 @@
 
     /** Begins a request, or answers it at once. */
     void begin(CallerConnection connection, HttpRequest head) {
-        if (core.manifest().routes().isEmpty()) {
+        if (refusing || core.manifest().routes().isEmpty()) {
             connection.answer(
-                    HttpResponseStatus.SERVICE_UNAVAILABLE, RequestFields.retryAfter(NO_MANIFEST_RETRY_MILLIS));
+                    HttpResponseStatus.SERVICE_UNAVAILABLE, RequestFields.retryAfter(NOT_TAKING_RETRY_MILLIS));
             return;
         }
         if (HttpUtil.getContentLength(head, 0L) > limits().maxBodyBytes()) {
