Relay: rows are told to the other members directly; orders avoid connections that broke on reuse; path test

Ruled out: a longer pause alone, since moves would take longer. Change: who writes a row tells the members; the waiting call rests 1.5 s after a change. For 5 s after a connection broke on reuse, what must not be repeated goes on a new one.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/rows/RowTable.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/rows/RowTable.java
@@ -1,5 +1,8 @@
 package org.verbenamast.core.rows;
 
+import java.util.Arrays;
+import java.util.Optional;
+
 /** The tables that the nodes keep in the store. */
 public enum RowTable {
     /** One row for each node: its address and the backend server beside it. */
@@ -26,6 +29,18 @@
         return label;
     }
 
+    /**
+     * Finds a table by its label.
+     *
+     * @param label the label
+     * @return the table, or nothing where none has this label
+     */
+    public static Optional<RowTable> labelled(String label) {
+        return Arrays.stream(values())
+                .filter(table -> table.label.equals(label))
+                .findFirst();
+    }
+
     /**
      * Tells whether every node follows the changes of this table.
      *
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/rows/SpreadRows.java
@@ -0,0 +1,18 @@
+package org.verbenamast.core.rows;
+
+import java.util.List;
+
+import org.verbenamast.core.effect.Effect;
+
+/**
+ * Tells the other members of rows that this node has just written, so that they need not wait for the store to tell.
+ *
+ * @param rows the rows as they were committed
+ */
+public record SpreadRows(List<StoredRow> rows) implements Effect.Relayed {
+
+    /** Copies the list. */
+    public SpreadRows {
+        rows = List.copyOf(rows);
+    }
+}
--- a/verbenamast-core/src/main/java/org/verbenamast/core/rows/WriterAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/rows/WriterAction.java
@@ -26,7 +26,7 @@
             return next;
         }
     },
-    /** Takes the rows as they were written. */
+    /** Takes the rows as they were written and tells the other members. */
     TAKE_WRITTEN {
         @Override
         public WriterData apply(WriterData data, WriterInput input, long now, Effects effects) {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/Followed.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/Followed.java
@@ -4,8 +4,8 @@
 public enum Followed {
     /** What operators write: the manifest and the availability zones that are out. */
     OPERATORS(6_000, 0),
-    /** What nodes tell each other: members and owners of keys. */
-    SHARED(10_000, 200);
+    /** What nodes tell each other: members and owners of keys. Most of it they tell directly as well. */
+    SHARED(10_000, 1_500);
 
     private final long waitMillis;
     private final long pauseMillis;
--- a/verbenamast-core/src/test/java/org/verbenamast/core/entry/EntryDeskTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/entry/EntryDeskTest.java
@@ -37,8 +37,7 @@
     private final Roster roster = new Roster();
     private final RowReplica replica = new RowReplica(row -> {});
     private final List<Effect> effects = new ArrayList<>();
-    private final EntryDesk desk =
-            new EntryDesk(new Zone("a"), roster, replica, () -> 0.5, TransitionListener.NONE);
+    private final EntryDesk desk = new EntryDesk(new Zone("a"), roster, replica, () -> 0.5, TransitionListener.NONE);
     private long now = Timing.nanos(1_000);
     private long lastId;
 
--- a/verbenamast-core/src/test/java/org/verbenamast/core/keys/KeyDeskTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/keys/KeyDeskTest.java
@@ -35,8 +35,7 @@
 
     private static Member member(String node) {
         ServerLife life = new ServerLife("server-of-" + node, 1);
-        return new Member(
-                node, new Address("127.0.0.1", 1), new Zone("z"), SERVICE, life, 9, ServerState.READY);
+        return new Member(node, new Address("127.0.0.1", 1), new Zone("z"), SERVICE, life, 9, ServerState.READY);
     }
 
     private List<KeyMap> writtenMaps() {
@@ -60,8 +59,7 @@
         // given
         roster.put(member("node-a"));
         ServerLife life = member("node-a").life();
-        Heartbeat beat = new Heartbeat(
-                life, SERVICE, "127.0.0.1:1", 9, ServerState.READY, 0, 1, List.of(), List.of());
+        Heartbeat beat = new Heartbeat(life, SERVICE, "127.0.0.1:1", 9, ServerState.READY, 0, 1, List.of(), List.of());
         desk.heartbeat(beat, Timing.nanos(10_000), effects::add);
         runUntil(10_000, 11_000);
         assertThat(writtenMaps()).isEmpty();
--- a/verbenamast-core/src/test/java/org/verbenamast/core/keys/VirtualKeys.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/keys/VirtualKeys.java
@@ -62,8 +62,7 @@
             long run = ++nodeRun;
             roster = new Roster();
             replica = new RowReplica(row -> {});
-            KeyDeskSettings self =
-                    new KeyDeskSettings(name, 1_000L * lives + run, SERVICE, TenureTerms.DEFAULT, now);
+            KeyDeskSettings self = new KeyDeskSettings(name, 1_000L * lives + run, SERVICE, TenureTerms.DEFAULT, now);
             desk = new KeyDesk(self, roster, replica, this::reaches, TransitionListener.NONE);
         }
 
--- a/verbenamast-core/src/test/java/org/verbenamast/core/keys/VirtualRows.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/keys/VirtualRows.java
@@ -51,9 +51,7 @@
 
     List<StoredRow> followed() {
         List<StoredRow> followed = new ArrayList<>();
-        rows.values().stream()
-                .filter(row -> row.ref().table() == RowTable.KEYS)
-                .forEach(followed::add);
+        rows.values().stream().filter(row -> row.ref().table() == RowTable.KEYS).forEach(followed::add);
         return followed;
     }
 }
--- a/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Programs.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Programs.java
@@ -39,6 +39,10 @@
         return start(name, "node", NODE_FLAGS, List.of("--settings", settings.toString()));
     }
 
+    Process relay(String name, Path settings) throws IOException {
+        return start(name, "relay", NODE_FLAGS, List.of("--settings", settings.toString()));
+    }
+
     Process standin(String name, List<String> args) throws IOException {
         return start(name, "standins", STANDIN_FLAGS, args);
     }
--- /dev/null
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/deploy/RelayFleet.java
@@ -0,0 +1,162 @@
+package org.verbenamast.it.deploy;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Relays as processes of their own, each with a stand-in for a backend server, and one stand-in for the store of rows.
+ * The first hosts run the keyed service {@code stock}, the last one {@code book}.
+ */
+public final class RelayFleet implements AutoCloseable {
+
+    private static final int PORTS_PER_HOST = 6;
+    private static final long END_SECONDS = 10;
+    private static final String MANIFEST = """
+            {"version": 1,
+             "routes": [
+              {"name": "stock", "host": "127.0.0.1", "prefix": "/stock/", "kind": "safe", "timeoutMs": 3000,
+               "targetLatencyMs": 300, "priority": 2, "maxAttempts": 2, "service": "stock"},
+              {"name": "book", "host": "127.0.0.1", "prefix": "/book/", "kind": "unsafe", "timeoutMs": 3000,
+               "targetLatencyMs": 300, "priority": 1, "maxAttempts": 2, "service": "book"}],
+             "services": [{"name": "stock", "sharded": true}, {"name": "book"}]}
+            """;
+
+    private final Path folder;
+    private final Programs programs;
+    private final PortBlock ports;
+    private final int hosts;
+    private final List<Process> relays = new ArrayList<>();
+    private final List<Process> others = new ArrayList<>();
+
+    private RelayFleet(Path root, Path folder, PortBlock ports, int hosts) {
+        this.folder = Objects.requireNonNull(folder, "folder");
+        this.programs = new Programs(root, folder);
+        this.ports = ports;
+        this.hosts = hosts;
+    }
+
+    /**
+     * Starts a fleet.
+     *
+     * @param root the root of the repository
+     * @param folder where settings and logs go
+     * @param hosts how many hosts, two at least
+     * @return the fleet; it may not be ready yet
+     * @throws IOException where a process can't be started
+     */
+    public static RelayFleet start(Path root, Path folder, int hosts) throws IOException {
+        Files.createDirectories(folder);
+        RelayFleet fleet = new RelayFleet(root, folder, PortBlock.reserve(hosts * PORTS_PER_HOST + 1), hosts);
+        Path manifest = Files.writeString(folder.resolve("manifest.json"), MANIFEST);
+        fleet.others.add(fleet.programs.standin(
+                "rows", List.of("rows", "--listen", fleet.store(), "--manifest", manifest.toString())));
+        for (int host = 0; host < hosts; host++) {
+            fleet.relays.add(null);
+            fleet.startRelay(host);
+            fleet.startServer(host);
+        }
+        return fleet;
+    }
+
+    private String address(int port) {
+        return "127.0.0.1:" + PortBlock.port(ports.base(), port);
+    }
+
+    private String store() {
+        return address(hosts * PORTS_PER_HOST);
+    }
+
+    private String address(int host, int which) {
+        return address(host * PORTS_PER_HOST + which);
+    }
+
+    private String service(int host) {
+        return host == hosts - 1 ? "book" : "stock";
+    }
+
+    /**
+     * Starts the relay of a host.
+     *
+     * @param host the host
+     * @throws IOException where the process can't be started
+     */
+    public void startRelay(int host) throws IOException {
+        String settings = """
+                {"node": "node-%d", "zone": "a", "service": "%s", "server": "%s", "callers": "%s", "ready": "%s",
+                 "heartbeats": "%s", "peers": "%s", "metrics": "%s", "store": "%s"}
+                """.formatted(
+                        host,
+                        service(host),
+                        address(host, 0),
+                        address(host, 1),
+                        address(host, 2),
+                        address(host, 3),
+                        address(host, 4),
+                        address(host, 5),
+                        store());
+        Path file = Files.writeString(folder.resolve("node-" + host + ".json"), settings);
+        relays.set(host, programs.relay("node-" + host, file));
+    }
+
+    private void startServer(int host) throws IOException {
+        others.add(programs.standin(
+                "server-" + host,
+                List.of(
+                        "beats",
+                        "--listen",
+                        address(host, 0),
+                        "--heartbeats",
+                        address(host, 3),
+                        "--service",
+                        service(host),
+                        "--id",
+                        "server-" + host)));
+    }
+
+    /**
+     * Returns the relay of a host.
+     *
+     * @param host the host
+     * @return the process
+     */
+    public Process relay(int host) {
+        return relays.get(host);
+    }
+
+    /**
+     * Returns where callers of a host send their requests.
+     *
+     * @param host the host
+     * @return the address
+     */
+    public String callers(int host) {
+        return address(host, 1);
+    }
+
+    @Override
+    public void close() throws IOException {
+        List<Process> all = new ArrayList<>(relays);
+        all.addAll(others);
+        all.forEach(Process::destroyForcibly);
+        for (Process process : all) {
+            awaitEnd(process);
+        }
+        ports.close();
+    }
+
+    private static void awaitEnd(Process process) throws IOException {
+        try {
+            if (!process.waitFor(END_SECONDS, TimeUnit.SECONDS)) {
+                throw new IOException("process " + process.pid() + " does not end");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted while process " + process.pid() + " ends", e);
+        }
+    }
+}
--- a/verbenamast-it/src/test/java/org/verbenamast/it/ShapeTest.java
+++ b/verbenamast-it/src/test/java/org/verbenamast/it/ShapeTest.java
@@ -1,8 +1,13 @@
 package org.verbenamast.it;
 
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
 import java.util.concurrent.locks.Lock;
+import java.util.stream.Stream;
 
 import com.tngtech.archunit.core.domain.JavaClass;
 import com.tngtech.archunit.core.domain.JavaClasses;
@@ -20,6 +25,7 @@
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.methods;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static org.assertj.core.api.Assertions.assertThat;
 
 /** The shape of the code: one loop on one thread, charts in files, records, enums with behaviour. */
 class ShapeTest {
@@ -31,6 +37,8 @@
                     "org.verbenamast.wire",
                     "org.verbenamast.http",
                     "org.verbenamast.node",
+                    "org.verbenamast.platform",
+                    "org.verbenamast.relay",
                     "org.verbenamast.ctl",
                     "org.verbenamast.load");
 
@@ -107,6 +115,38 @@
                 .check(PRODUCT);
     }
 
+    @Test
+    void should_decide_nothing_when_the_platform_is_translated() {
+        noClasses()
+                .that()
+                .resideInAPackage("org.verbenamast.platform..")
+                .should()
+                .dependOnClassesThat()
+                .resideInAnyPackage(
+                        "org.verbenamast.core.chart..",
+                        "org.verbenamast.core.effect..",
+                        "org.verbenamast.core.entry..",
+                        "org.verbenamast.core.admission..",
+                        "org.verbenamast.core.relay..",
+                        "org.verbenamast.relay..",
+                        "io.activej..",
+                        "io.netty..")
+                .check(PRODUCT);
+    }
+
+    @Test
+    void should_know_the_platforms_names_only_there_when_sources_are_read() throws IOException {
+        List<String> names = List.of("X-Verbenamast-", "/-/", "\"holdMs\"", "\"expectedRev\"", "\"coldLeftMs\"");
+        for (String module : List.of("core", "wire", "http", "node", "relay", "ctl", "load")) {
+            Path sources = Path.of("..", "verbenamast-" + module, "src", "main", "java");
+            try (Stream<Path> files = Files.walk(sources)) {
+                for (Path file : files.filter(Files::isRegularFile).toList()) {
+                    assertThat(Files.readString(file)).as(file.toString()).doesNotContain(names);
+                }
+            }
+        }
+    }
+
     @Test
     void should_be_enums_when_charts_name_behaviour() {
         for (Class<?> part : new Class<?>[] {Guard.class, Action.class, TimerRule.class}) {
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
@@ -21,6 +21,7 @@
 import org.verbenamast.core.node.Timing;
 import org.verbenamast.core.relay.RelayCore;
 import org.verbenamast.core.relay.RelaySettings;
+import org.verbenamast.core.rows.SpreadRows;
 import org.verbenamast.core.rows.StoreEffect;
 import org.verbenamast.core.rows.StorePurpose;
 import org.verbenamast.core.rows.StoreResult;
@@ -32,7 +33,7 @@
 import org.verbenamast.relay.backend.BackendPool;
 import org.verbenamast.relay.caller.CallerServer;
 import org.verbenamast.relay.peer.GateServer;
-import org.verbenamast.relay.peer.HeatSender;
+import org.verbenamast.relay.peer.PeerNews;
 import org.verbenamast.relay.peer.PeerPool;
 import org.verbenamast.relay.settings.RelayNodeSettings;
 import org.verbenamast.relay.store.StoreClient;
@@ -63,7 +64,7 @@
     private final CallerServer callers;
     private final GateServer gate;
     private final PlatformFront front;
-    private final HeatSender heat;
+    private final PeerNews news;
     private final ClockWatch clocks = new ClockWatch(SUSPENSION_MILLIS);
     private long stoppingSince;
 
@@ -87,7 +88,7 @@
         this.callers = new CallerServer(eventloop, settings.callers(), settings.service(), core, loop, peers);
         this.gate = new GateServer(eventloop, settings.peers(), core, loop, backend);
         this.front = new PlatformFront(eventloop, settings, core, loop, () -> stoppingSince == 0);
-        this.heat = new HeatSender(peers);
+        this.news = new PeerNews(peers);
     }
 
     private static RelaySettings coreSettings(RelayNodeSettings settings) {
@@ -187,7 +188,9 @@
         } else if (effect instanceof FollowEffect follow) {
             store.run(follow);
         } else if (effect instanceof KeyEffect.TellHeat tell) {
-            heat.send(tell);
+            news.send(tell);
+        } else if (effect instanceof SpreadRows spread) {
+            news.send(spread, core.roster().members(), settings.peers());
         } else {
             throw new IllegalStateException("no part carries out " + effect);
         }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/backend/BackendCall.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/backend/BackendCall.java
@@ -105,7 +105,7 @@
 
     /** Sends the request. */
     public void begin() {
-        pool.take().whenResult(taken -> begin(taken)).whenException(e -> {
+        pool.take(request.kind().repeatable()).whenResult(taken -> begin(taken)).whenException(e -> {
             if (!closed) {
                 closed = true;
                 observer.unsent();
@@ -249,13 +249,21 @@
     public void broken() {
         if (!closed) {
             closed = true;
+            noteReuse();
             observer.broken();
         }
     }
 
+    private void noteReuse() {
+        if (answerStatus == 0 && link.reused()) {
+            pool.distrust();
+        }
+    }
+
     private void fail() {
         if (!closed) {
             closed = true;
+            noteReuse();
             link.close();
             observer.broken();
         }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/backend/BackendPool.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/backend/BackendPool.java
@@ -19,11 +19,15 @@
     /** Age from which an idle connection is not used any more, in nanoseconds; servers close theirs after 10 s. */
     private static final long MOST_IDLE = Timing.nanos(4_000);
 
+    /** Time for which connections are not used again for what must not be repeated, in nanoseconds. */
+    private static final long DISTRUST = Timing.nanos(5_000);
+
     private record Idle(HttpLink link, long since) {}
 
     private final Eventloop eventloop;
     private final Address address;
     private final Deque<Idle> idle = new ArrayDeque<>();
+    private long distrustUntil = RelayLoop.now();
 
     /**
      * Makes a pool without connections.
@@ -39,11 +43,13 @@
     /**
      * Takes the connection that was used last, or makes one.
      *
+     * @param repeatable whether the request could be sent again if the connection turned out to be broken
      * @return the connection; the promise is broken where none can be made
      */
-    public Promise<HttpLink> take() {
+    public Promise<HttpLink> take(boolean repeatable) {
         dropOld();
-        while (!idle.isEmpty()) {
+        boolean trusted = repeatable || RelayLoop.now() - distrustUntil >= 0;
+        while (trusted && !idle.isEmpty()) {
             HttpLink link = idle.pollLast().link();
             if (link.reusable()) {
                 return Promise.of(link);
@@ -68,6 +74,11 @@
         idle.addLast(new Idle(link, RelayLoop.now()));
     }
 
+    /** Notes that a connection broke as it was used again: the server may end others in the same way. */
+    public void distrust() {
+        distrustUntil = RelayLoop.now() + DISTRUST;
+    }
+
     /** Closes all idle connections: the server may be another one now. */
     public void drop() {
         idle.forEach(each -> each.link().close());
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerConnection.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerConnection.java
@@ -6,8 +6,8 @@
 
 import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.promise.Promise;
-import io.activej.reactor.Reactor;
 import io.activej.promise.SettablePromise;
+import io.activej.reactor.Reactor;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpResponse;
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/net/HttpLink.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/net/HttpLink.java
@@ -63,6 +63,7 @@
     private Answers answers;
     private boolean spent;
     private boolean inAnswer;
+    private int requests;
 
     private HttpLink(ITcpSocket socket) {
         this.socket = Objects.requireNonNull(socket, "socket");
@@ -103,6 +104,7 @@
      */
     public void begin(HttpObject head, Answers taker) {
         answers = Objects.requireNonNull(taker, "taker");
+        requests++;
         outflow.write(codec.encode(head));
     }
 
@@ -138,6 +140,15 @@
         return !spent && answers == null && !socket.isClosed();
     }
 
+    /**
+     * Tells whether the request that is under way is not the first one.
+     *
+     * @return whether the connection carried another request before
+     */
+    public boolean reused() {
+        return requests > 1;
+    }
+
     private Promise<Void> received(byte[] bytes) {
         try {
             codec.received(bytes);
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateServer.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateServer.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
@@ -18,6 +19,7 @@
 import org.verbenamast.core.admission.GateRequest;
 import org.verbenamast.core.model.Address;
 import org.verbenamast.core.relay.RelayCore;
+import org.verbenamast.core.rows.StoredRow;
 import org.verbenamast.relay.RelayLoop;
 import org.verbenamast.relay.backend.BackendPool;
 import org.verbenamast.wire.generated.RelayFrame;
@@ -126,6 +128,7 @@
                 case DATA -> data(frame);
                 case END -> end();
                 case HEAT -> loop.run((now, effects) -> core.keys().heat(RelayFrames.heat(frame.getHeat()), now));
+                case ROWS -> rows(frame);
                 default -> {
                     LOG.warn("a link of another node is closed: frame {} was not expected", frame.getBodyCase());
                     link.close();
@@ -145,6 +148,13 @@
             loop.run((now, effects) -> core.gate().open(request, now, effects));
         }
 
+        private void rows(RelayFrame frame) {
+            List<StoredRow> rows = RelayFrames.rows(
+                    frame.getRows(),
+                    fault -> LOG.warn("a row that another node told can't be read: {}", fault.getMessage()));
+            loop.run((now, effects) -> core.rows(rows, now, effects));
+        }
+
         private void data(RelayFrame frame) {
             if (exchange != null) {
                 exchange.body(frame.getData().toByteArray());
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreRows.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreRows.java
@@ -55,10 +55,9 @@
 
     private static Optional<RowRef> refOf(String key) {
         int slash = key.indexOf('/');
-        for (RowTable table : RowTable.values()) {
-            if (slash > 0 && slash + 1 < key.length() && table.label().equals(key.substring(0, slash))) {
-                return Optional.of(new RowRef(table, key.substring(slash + 1)));
-            }
+        Optional<RowTable> table = slash < 0 ? Optional.empty() : RowTable.labelled(key.substring(0, slash));
+        if (table.isPresent() && slash + 1 < key.length()) {
+            return table.map(known -> new RowRef(known, key.substring(slash + 1)));
         }
         LOG.warn("row {} of the store is none of this program's; left out", key);
         return Optional.empty();
--- a/verbenamast-standins/src/main/java/org/verbenamast/standins/beats/BeatsStandin.java
+++ b/verbenamast-standins/src/main/java/org/verbenamast/standins/beats/BeatsStandin.java
@@ -82,7 +82,10 @@
                 .then(body -> HttpResponse.ok200()
                         .withHeader(ATTEMPT_ID, id)
                         .withHeader(SIGNATURE, options.id())
-                        .withPlainText(options.id() + ' ' + request.getRelativePath() + ' '
+                        .withPlainText(options.id()
+                                + ' '
+                                + request.getRelativePath()
+                                + ' '
                                 + new String(body, StandardCharsets.UTF_8))
                         .toPromise());
     }
@@ -112,8 +115,8 @@
                 .put("sequence", ++sequence)
                 .put("born", startedAt);
         ArrayNode holds = beat.putArray("holds");
-        held.forEach(range ->
-                holds.addArray().add(range.get(0)).add(range.get(1)).add(range.get(2)));
+        held.forEach(
+                range -> holds.addArray().add(range.get(0)).add(range.get(1)).add(range.get(2)));
         client.request(HttpRequest.put("http://" + options.heartbeats() + "/-/instances/" + options.id())
                         .withBody(beat.toString().getBytes(StandardCharsets.UTF_8))
                         .build())
--- a/verbenamast-standins/src/main/java/org/verbenamast/standins/rows/RowTables.java
+++ b/verbenamast-standins/src/main/java/org/verbenamast/standins/rows/RowTables.java
@@ -43,7 +43,8 @@
             }
         }
         version++;
-        call.path("puts").forEach(put -> rows.put(key(put), new Value(put.path("value").asText(), version)));
+        call.path("puts")
+                .forEach(put -> rows.put(key(put), new Value(put.path("value").asText(), version)));
         call.path("deletes").forEach(delete -> rows.put(key(delete), new Value(null, version)));
         answer.put("ver", version);
         List<Runnable> told = List.copyOf(waiting);
--- a/verbenamast-standins/src/main/java/org/verbenamast/standins/rows/RowsStandin.java
+++ b/verbenamast-standins/src/main/java/org/verbenamast/standins/rows/RowsStandin.java
@@ -57,8 +57,11 @@
         tables.commit(call, MAPPER.createObjectNode());
         RoutingServlet routes = RoutingServlet.builder(eventloop)
                 .with(HttpMethod.POST, "/-/rows-tx", this::commit)
-                .with(HttpMethod.GET, "/-/rows-get", request -> json(tables.read(
-                        request.getQueryParameter("table"), text(request, "from"), (int) whole(request, "limit"))))
+                .with(
+                        HttpMethod.GET,
+                        "/-/rows-get",
+                        request -> json(tables.read(request.getQueryParameter("table"), text(request, "from"), (int)
+                                whole(request, "limit"))))
                 .with(HttpMethod.GET, "/-/rows-feed", this::follow)
                 .build();
         HttpServer.builder(eventloop, routes)
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/relay/RelayFrames.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/relay/RelayFrames.java
@@ -1,7 +1,13 @@
 package org.verbenamast.wire.relay;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.function.Consumer;
 
+import com.google.protobuf.ByteString;
+import io.vavr.control.Either;
 import org.verbenamast.core.admission.GateLoad;
 import org.verbenamast.core.admission.GateRequest;
 import org.verbenamast.core.admission.Refusal;
@@ -11,11 +17,17 @@
 import org.verbenamast.core.node.Timing;
 import org.verbenamast.core.roster.Member;
 import org.verbenamast.core.roster.ServerLife;
+import org.verbenamast.core.rows.RowContent;
+import org.verbenamast.core.rows.RowRef;
+import org.verbenamast.core.rows.RowTable;
+import org.verbenamast.core.rows.StoredRow;
+import org.verbenamast.wire.WireException;
 import org.verbenamast.wire.generated.RelayFrame;
 import org.verbenamast.wire.generated.RelayHeat;
 import org.verbenamast.wire.generated.RelayLoad;
 import org.verbenamast.wire.generated.RelayOpen;
 import org.verbenamast.wire.generated.RelayRefused;
+import org.verbenamast.wire.generated.RelayRow;
 
 /** Frames between nodes that relay requests, to and from the types of the decisions. */
 public final class RelayFrames {
@@ -168,4 +180,55 @@
                 heat.getCold(),
                 heat.getKeysList());
     }
+
+    /**
+     * Encodes rows that a node has written.
+     *
+     * @param rows the rows
+     * @return the frame
+     */
+    public static RelayFrame rows(List<StoredRow> rows) {
+        org.verbenamast.wire.generated.RelayRows.Builder message =
+                org.verbenamast.wire.generated.RelayRows.newBuilder();
+        for (StoredRow row : rows) {
+            RelayRow.Builder each = RelayRow.newBuilder()
+                    .setTable(row.ref().table().label())
+                    .setKey(row.ref().key())
+                    .setVersion(row.version())
+                    .setGone(row.content().isEmpty());
+            row.content().ifPresent(content -> each.setValue(ByteString.copyFrom(RelayRows.encode(content))));
+            message.addRows(each);
+        }
+        return RelayFrame.newBuilder().setRows(message).build();
+    }
+
+    /**
+     * Decodes rows that another node has written; those that can't be read are left out and reported.
+     *
+     * @param message the message
+     * @param refused takes the fault of each row that can't be read
+     * @return the rows
+     */
+    public static List<StoredRow> rows(
+            org.verbenamast.wire.generated.RelayRows message, Consumer<WireException> refused) {
+        List<StoredRow> rows = new ArrayList<>();
+        for (RelayRow row : message.getRowsList()) {
+            RowTable.labelled(row.getTable())
+                    .ifPresentOrElse(
+                            table -> content(table, row, refused).ifPresent(rows::add),
+                            () -> refused.accept(WireException.shouldBeReadableRow(row.getKey(), "unknown table")));
+        }
+        return rows;
+    }
+
+    private static Optional<StoredRow> content(RowTable table, RelayRow row, Consumer<WireException> refused) {
+        RowRef ref = new RowRef(table, row.getKey());
+        if (row.getGone()) {
+            return Optional.of(new StoredRow(ref, row.getVersion(), Optional.empty()));
+        }
+        Either<WireException, RowContent> content =
+                RelayRows.decode(table, row.getValue().toByteArray());
+        content.peekLeft(refused);
+        return content.toJavaOptional().map(read -> new StoredRow(ref, row.getVersion(), Optional.of(read)));
+    }
 }
