Gate: times are kept by route, and short calls go first; a member's new run clears what was held against its node

Both have priority 1, and the mean time of that priority (about 120 ms) made every call with an objective of 100 ms count as too late to be urgent. After all hosts lost power, requests for keys were refused for up to 5 s since their owners' nodes counted as unreachable. Ruled out: telling calls by the address they come from (callers use the host's own address as well; tried, reverted). Change: service times by route; what takes at most half of the mean goes with what can still meet its objective; a late request is ranked by its deadline; another run in a member's row clears the node's health. Tests: GateDeskTest.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/GateDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/GateDesk.java
@@ -30,6 +30,9 @@
     /** Part of the time left until the deadline that a request may wait where no other server is left, as a ratio. */
     private static final double WAIT_AT_LAST = 0.6;
 
+    /** Part of the mean service time up to which a request counts as short, as a ratio. */
+    private static final double SHORT_PART = 0.5;
+
     private final Population<Long, GateEvent, GateData, GateInput> requests;
     private final GateRules rules;
     private final ColdWindow window = new ColdWindow();
@@ -156,7 +159,7 @@
     }
 
     private double longestWait(GateRequest request, long now) {
-        double service = times.millis(request.priority());
+        double service = times.millis(request.route());
         double toObjective = millisLeft(request.objectiveAt(), now) - service;
         double toDeadline = millisLeft(request.deadlineAt(), now) - service;
         return request.lastChance() ? WAIT_AT_LAST * toDeadline : WAIT_WITH_OTHERS * toObjective;
@@ -168,12 +171,18 @@
 
     private Comparator<GateRequest> urgency(long now) {
         return Comparator.comparingInt(GateRequest::priority)
-                .thenComparing(request -> !canMeetObjective(request, now))
-                .thenComparingLong(GateRequest::objectiveAt);
+                .thenComparing(request -> !canMeetObjective(request, now) && !isShort(request))
+                .thenComparingLong(
+                        request -> canMeetObjective(request, now) ? request.objectiveAt() : request.deadlineAt());
     }
 
     private boolean canMeetObjective(GateRequest request, long now) {
-        return millisLeft(request.objectiveAt(), now) >= times.millis(request.priority());
+        return millisLeft(request.objectiveAt(), now) >= times.millis(request.route());
+    }
+
+    /** Tells whether a request takes far less than others, so that it delays them least if it goes before them. */
+    private boolean isShort(GateRequest request) {
+        return times.millis(request.route()) <= SHORT_PART * times.millis();
     }
 
     private List<Instance<GateData>> waiting() {
@@ -206,8 +215,7 @@
             return;
         }
         if (answered && instance.is(GateTag.RUNNING)) {
-            times.add(
-                    instance.data().request().priority(), now - instance.data().startedAt());
+            times.add(instance.data().request().route(), now - instance.data().startedAt());
         }
         requests.fire(id, GateEvent.FINISHED, GateInput.NONE, now, effects);
         passOn(now, effects);
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/GateRequest.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/GateRequest.java
@@ -12,6 +12,7 @@
  *
  * @param id the number under which this node keeps it
  * @param attemptId the id that the caller gave it
+ * @param route the name of its route; requests of one route take about as long
  * @param service the service that it is for
  * @param life the run of the server that it is for
  * @param kind what may be repeated
@@ -25,6 +26,7 @@
 public record GateRequest(
         long id,
         String attemptId,
+        String route,
         String service,
         ServerLife life,
         RequestKind kind,
@@ -39,6 +41,7 @@
     public GateRequest {
         Checks.notBlank("service", service);
         Objects.requireNonNull(attemptId, "attemptId");
+        Objects.requireNonNull(route, "route");
         Objects.requireNonNull(life, "life");
         Objects.requireNonNull(kind, "kind");
         Objects.requireNonNull(key, "key");
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/ServiceTimes.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/ServiceTimes.java
@@ -5,7 +5,7 @@
 
 import org.verbenamast.core.node.Timing;
 
-/** How long requests occupy a slot of the server: smoothed, for each priority and over all. */
+/** How long requests occupy a slot of the server: smoothed, for each route and over all. */
 final class ServiceTimes {
 
     /** Weight of a new sample, as a ratio; about the last ten requests count. */
@@ -13,21 +13,27 @@
     /** Time that is assumed before the first request, in milliseconds. */
     private static final double FIRST_MILLIS = 100;
 
-    private final Map<Integer, Double> byPriority = new HashMap<>();
+    /** Routes whose times are kept; a manifest with more starts anew now and then. */
+    private static final int MOST_ROUTES = 1_024;
+
+    private final Map<String, Double> byRoute = new HashMap<>();
     private double all = FIRST_MILLIS;
 
-    void add(int priority, long nanos) {
+    void add(String route, long nanos) {
         double millis = (double) nanos / Timing.NANOS_PER_MILLI;
         all += SAMPLE_WEIGHT * (millis - all);
-        double before = byPriority.getOrDefault(priority, millis);
-        byPriority.put(priority, before + SAMPLE_WEIGHT * (millis - before));
+        double before = byRoute.getOrDefault(route, millis);
+        if (byRoute.size() >= MOST_ROUTES) {
+            byRoute.clear();
+        }
+        byRoute.put(route, before + SAMPLE_WEIGHT * (millis - before));
     }
 
     double millis() {
         return all;
     }
 
-    double millis(int priority) {
-        return byPriority.getOrDefault(priority, all);
+    double millis(String route) {
+        return byRoute.getOrDefault(route, all);
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryDesk.java
@@ -70,6 +70,16 @@
         return !health.parked(idOf(member));
     }
 
+    /**
+     * Forgets that a member was not reached: its row tells of another run of its server.
+     *
+     * @param member the member
+     * @param now the monotonic time, in nanoseconds
+     */
+    public void renewed(Member member, long now) {
+        health.saw(idOf(member), HealthEvent.ENDED, now);
+    }
+
     private static MemberId idOf(Member member) {
         return new MemberId(member.node(), 1);
     }
--- a/verbenamast-core/src/test/java/org/verbenamast/core/admission/GateDeskTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/admission/GateDeskTest.java
@@ -51,10 +51,15 @@
     }
 
     private long open(int priority, long objectiveMillis, OptionalInt key) {
+        return open("route-" + priority, priority, objectiveMillis, key);
+    }
+
+    private long open(String route, int priority, long objectiveMillis, OptionalInt key) {
         long id = ++lastId;
         GateRequest request = new GateRequest(
                 id,
                 "attempt-" + id,
+                route,
                 "s",
                 LIFE,
                 RequestKind.SAFE,
@@ -130,6 +135,32 @@
         assertThat(dispatched()).containsExactly(running, inTime);
     }
 
+    @Test
+    void should_pass_on_a_short_call_first_when_its_objective_is_missed_already() {
+        // given
+        server(1, 0, 0, 0);
+        for (int i = 0; i < 40; i++) {
+            run("short", 10);
+            run("long", 200);
+        }
+        long running = open("long", 1, 500, OptionalInt.empty());
+        open("long", 1, 3_000, OptionalInt.empty());
+        long call = open("short", 1, 20, OptionalInt.empty());
+
+        // when
+        now += Timing.nanos(90);
+        gate.finished(running, true, now, effects::add);
+
+        // then
+        assertThat(dispatched()).endsWith(running, call);
+    }
+
+    private void run(String route, long millis) {
+        long id = open(route, 1, 500, OptionalInt.empty());
+        now += Timing.nanos(millis);
+        gate.finished(id, true, now, effects::add);
+    }
+
     @Test
     void should_send_no_more_in_a_second_than_a_cold_server_bears() {
         // given
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/relay/RelayFrames.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/relay/RelayFrames.java
@@ -48,6 +48,7 @@
     public static RelayOpen.Builder open(EntryRequest request, Member target, boolean lastChance, long now) {
         return RelayOpen.newBuilder()
                 .setAttemptId(request.attemptId())
+                .setRoute(request.route().name())
                 .setService(request.service())
                 .setServerId(target.life().id())
                 .setServerBorn(target.life().startedAt())
@@ -75,6 +76,7 @@
         return new GateRequest(
                 id,
                 open.getAttemptId(),
+                open.getRoute(),
                 open.getService(),
                 new ServerLife(open.getServerId(), open.getServerBorn()),
                 RequestKind.values()[open.getKind()],
