--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/TenureTerms.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/TenureTerms.java
@@ -13,8 +13,8 @@
 public record TenureTerms(long leaseMillis, long renewMillis, long retryMillis, long holdMillis) {
 
     /**
-     * A lease of 8.5 s outlasts a store outage of 6 s and lets keys of a lost host move within 10 s; a hold of 4 s outlasts
-     * the restart of a node, about 2 s, and a lost heartbeat.
+     * A lease of 8.5 s outlasts a store outage of 6 s and lets keys of a lost host move within 10 s; a hold of 4 s
+     * outlasts the restart of a node, about 2 s, and a lost heartbeat.
      */
     public static final TenureTerms DEFAULT = new TenureTerms(8_500, 2_000, 300, 4_000);
 
