Gate: what waits is refused as soon as the server could not answer in time; frames with impossible values close the link

One process was still there at the end of its grace time, whose margin had become 0.3 s. Ruled out: processes that end by themselves (none when nothing is rebuilt during the run). Tests: GateDeskTest, RelayFramesTest.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/GateData.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/GateData.java
@@ -6,9 +6,10 @@
  * A request at the gate.
  *
  * @param request the request
+ * @param serviceNanos how long the server is expected to take for it, in nanoseconds
  * @param startedAt when the server got it, in nanoseconds; 0 while it waits
  */
-public record GateData(GateRequest request, long startedAt) {
+public record GateData(GateRequest request, long serviceNanos, long startedAt) {
 
     /** Checks the request. */
     public GateData {
@@ -16,6 +17,6 @@
     }
 
     GateData started(long now) {
-        return new GateData(request, now);
+        return new GateData(request, serviceNanos, now);
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/GateDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/GateDesk.java
@@ -95,10 +95,14 @@
      * @param effects the sink of the effects
      */
     public void open(GateRequest request, long now, Effects effects) {
-        requests.begin(request.id(), new GateData(request, 0), now);
+        requests.begin(request.id(), new GateData(request, serviceNanos(request), 0), now);
         requests.fire(request.id(), GateEvent.JUDGED, judge(request, now), now, effects);
     }
 
+    private long serviceNanos(GateRequest request) {
+        return (long) (times.millis(request.route()) * Timing.NANOS_PER_MILLI);
+    }
+
     private GateInput judge(GateRequest request, long now) {
         Optional<Refusal> refusal = refusal(request, now);
         if (refusal.isPresent()) {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/GateEvent.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/GateEvent.java
@@ -12,6 +12,8 @@
     WITHDRAWN,
     /** The server has answered, or its connection has broken. */
     FINISHED,
+    /** The request has waited for so long that the server could not answer in time any more. */
+    PATIENCE_OVER,
     /** The request's time is over. */
     TIME_OVER
 }
--- a/verbenamast-core/src/test/java/org/verbenamast/core/admission/GateDeskTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/admission/GateDeskTest.java
@@ -240,6 +240,24 @@
         assertThat(gate.idle()).isTrue();
     }
 
+    @Test
+    void should_refuse_what_waits_as_soon_as_the_server_could_not_answer_in_time() {
+        // given
+        server(1, 0, 0, 0);
+        for (int i = 0; i < 40; i++) {
+            run("long", 400);
+        }
+        open("long", 1, 500, OptionalInt.empty());
+        long waiting = open("long", 1, 500, OptionalInt.empty());
+
+        // when
+        now += Timing.nanos(1_650);
+        gate.advance(now, effects::add);
+
+        // then
+        assertThat(refusalOf(waiting)).isEqualTo(Refusal.TOO_LATE);
+    }
+
     @Test
     void should_stop_the_server_when_the_sender_has_left() {
         // given
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
@@ -50,7 +50,7 @@
     /** Difference between the clocks that may be a suspension of the host, in milliseconds. */
     private static final long SUSPENSION_MILLIS = 200;
     /** Time before the end of the grace period at which the process ends in any case, in milliseconds. */
-    private static final long END_MARGIN_MILLIS = 300;
+    private static final long END_MARGIN_MILLIS = 600;
     /** Time for which a stopping node still takes requests, in milliseconds; callers learn of it within two seconds. */
     private static final long STILL_TAKING_MILLIS = 2_600;
 
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateServer.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateServer.java
@@ -138,10 +138,18 @@
         }
 
         private void open(RelayOpen open) {
-            long id = ++lastId;
-            GateRequest request = RelayFrames.request(id, open, RelayLoop.now());
+            RelayFrames.request(++lastId, open, RelayLoop.now())
+                    .peek(request -> open(request, open))
+                    .peekLeft(fault -> {
+                        LOG.warn("a link of another node is closed: {}", fault.getMessage());
+                        link.close();
+                        ended();
+                    });
+        }
+
+        private void open(GateRequest request, RelayOpen open) {
             exchange = new GateExchange(link, request, open, pool, GateServer.this);
-            exchanges.put(id, exchange);
+            exchanges.put(request.id(), exchange);
             if (request.key().isPresent()) {
                 core.keys().counted(request.key().getAsInt());
             }
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/WireException.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/WireException.java
@@ -41,7 +41,13 @@
         return new WireException(WireFault.MALFORMED, "the message should name its sender");
     }
 
-    static WireException shouldHoldValidValues(RuntimeException cause) {
+    /**
+     * Makes the failure of a message with a value that is not allowed.
+     *
+     * @param cause what is wrong with it
+     * @return the failure
+     */
+    public static WireException shouldHoldValidValues(RuntimeException cause) {
         return new WireException(WireFault.MALFORMED, "the message should hold valid values: " + cause.getMessage());
     }
 
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/relay/RelayFrames.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/relay/RelayFrames.java
@@ -11,6 +11,7 @@
 import org.verbenamast.core.admission.GateLoad;
 import org.verbenamast.core.admission.GateRequest;
 import org.verbenamast.core.admission.Refusal;
+import org.verbenamast.core.check.InvalidValueException;
 import org.verbenamast.core.entry.EntryRequest;
 import org.verbenamast.core.keys.HeatReport;
 import org.verbenamast.core.manifest.RequestKind;
@@ -70,9 +71,17 @@
      * @param id the number under which the receiver keeps the request
      * @param open the frame
      * @param now the monotonic time at which it came, in nanoseconds
-     * @return the request
+     * @return the request, or why it can't be one
      */
-    public static GateRequest request(long id, RelayOpen open, long now) {
+    public static Either<WireException, GateRequest> request(long id, RelayOpen open, long now) {
+        try {
+            return Either.right(decode(id, open, now));
+        } catch (InvalidValueException | IndexOutOfBoundsException e) {
+            return Either.left(WireException.shouldHoldValidValues(e));
+        }
+    }
+
+    private static GateRequest decode(long id, RelayOpen open, long now) {
         return new GateRequest(
                 id,
                 open.getAttemptId(),
--- /dev/null
+++ b/verbenamast-wire/src/test/java/org/verbenamast/wire/relay/RelayFramesTest.java
@@ -0,0 +1,145 @@
+package org.verbenamast.wire.relay;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+
+import org.junit.jupiter.api.Test;
+import org.verbenamast.core.admission.GateLoad;
+import org.verbenamast.core.admission.GateRequest;
+import org.verbenamast.core.admission.Refusal;
+import org.verbenamast.core.entry.EntryRequest;
+import org.verbenamast.core.keys.HeatReport;
+import org.verbenamast.core.keys.KeyLease;
+import org.verbenamast.core.keys.KeyMap;
+import org.verbenamast.core.keys.KeyRange;
+import org.verbenamast.core.manifest.RequestKind;
+import org.verbenamast.core.manifest.Route;
+import org.verbenamast.core.manifest.Split;
+import org.verbenamast.core.model.Address;
+import org.verbenamast.core.model.Zone;
+import org.verbenamast.core.node.Timing;
+import org.verbenamast.core.roster.Member;
+import org.verbenamast.core.roster.ServerLife;
+import org.verbenamast.core.roster.ServerState;
+import org.verbenamast.core.rows.RowRef;
+import org.verbenamast.core.rows.RowTable;
+import org.verbenamast.core.rows.StoredRow;
+import org.verbenamast.wire.WireException;
+import org.verbenamast.wire.generated.RelayFrame;
+import org.verbenamast.wire.generated.RelayOpen;
+import org.verbenamast.wire.generated.RelayRow;
+import org.verbenamast.wire.generated.RelayRows;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RelayFramesTest {
+
+    private static final ServerLife LIFE = new ServerLife("i-1", 77);
+    private static final Member MEMBER =
+            new Member("node-1", new Address("127.0.0.1", 7), new Zone("a"), "stock", LIFE, 9, ServerState.READY);
+
+    private static RelayOpen open(OptionalInt key) {
+        Route route = new Route("r", "h", "/", RequestKind.UNSAFE, 1_000, 300, 3, 2, List.of(new Split("stock", 1)));
+        EntryRequest request =
+                new EntryRequest(1, "attempt", route, "stock", key, 0, Timing.nanos(300), Timing.nanos(1_000));
+        return RelayFrames.open(request, MEMBER, true, Timing.nanos(100)).build();
+    }
+
+    @Test
+    void should_keep_the_time_that_is_left_when_a_request_crosses_to_another_clock() {
+        // when
+        GateRequest request = RelayFrames.request(5, open(OptionalInt.of(42)), Timing.nanos(9_000))
+                .get();
+
+        // then
+        assertThat(request)
+                .isEqualTo(new GateRequest(
+                        5,
+                        "attempt",
+                        "r",
+                        "stock",
+                        LIFE,
+                        RequestKind.UNSAFE,
+                        3,
+                        OptionalInt.of(42),
+                        true,
+                        Timing.nanos(9_000),
+                        Timing.nanos(9_200),
+                        Timing.nanos(9_900)));
+    }
+
+    @Test
+    void should_name_the_fault_when_a_request_holds_impossible_values() {
+        // given
+        RelayOpen oddKind = open(OptionalInt.empty()).toBuilder().setKind(99).build();
+        RelayOpen noServer =
+                open(OptionalInt.empty()).toBuilder().setServerId("").build();
+
+        // then
+        assertThat(RelayFrames.request(1, oddKind, 0).isLeft()).isTrue();
+        assertThat(RelayFrames.request(1, noServer, 0).isLeft()).isTrue();
+    }
+
+    @Test
+    void should_keep_reason_and_load_when_a_request_is_refused() {
+        // given
+        GateLoad load = new GateLoad(3, 4, 9, 120, true, false);
+
+        // when
+        RelayFrame frame = RelayFrames.refused(Refusal.COLD, 250, load);
+
+        // then
+        assertThat(RelayFrames.reason(frame.getRefused())).isEqualTo(Refusal.COLD);
+        assertThat(frame.getRefused().getRetryAfterMillis()).isEqualTo(250);
+        assertThat(RelayFrames.load(frame.getRefused().getLoad())).isEqualTo(load);
+    }
+
+    @Test
+    void should_keep_busy_keys_when_they_are_reported() {
+        // given
+        HeatReport report = new HeatReport("stock", LIFE, 9, 120, false, List.of(1, 1, 65_535));
+
+        // then
+        assertThat(RelayFrames.heat(RelayFrames.heat(report).getHeat())).isEqualTo(report);
+    }
+
+    @Test
+    void should_keep_each_kind_of_row_when_rows_are_told() {
+        // given
+        KeyMap map = KeyMap.vacant("stock")
+                .move(new KeyRange(0, 999), LIFE)
+                .move(new KeyRange(100, 199), new ServerLife("i-2", 0));
+        List<StoredRow> rows = List.of(
+                new StoredRow(new RowRef(RowTable.MEMBERS, "node-1"), 4, Optional.of(MEMBER)),
+                new StoredRow(new RowRef(RowTable.KEYS, "stock"), 5, Optional.of(map)),
+                new StoredRow(new RowRef(RowTable.LEASES, "i-1@77"), 6, Optional.of(new KeyLease(LIFE, 8, 2))),
+                new StoredRow(new RowRef(RowTable.MEMBERS, "node-2"), 7, Optional.empty()));
+        List<WireException> refused = new ArrayList<>();
+
+        // when
+        List<StoredRow> told = RelayFrames.rows(RelayFrames.rows(rows).getRows(), refused::add);
+
+        // then
+        assertThat(told).isEqualTo(rows);
+        assertThat(refused).isEmpty();
+    }
+
+    @Test
+    void should_leave_out_and_report_what_can_not_be_read_when_rows_are_told() {
+        // given
+        RelayRows message = RelayRows.newBuilder()
+                .addRows(RelayRow.newBuilder().setTable("odd").setKey("k").setVersion(1))
+                .addRows(RelayRow.newBuilder().setTable("keys").setKey("k").setVersion(1))
+                .build();
+        List<WireException> refused = new ArrayList<>();
+
+        // when
+        List<StoredRow> told = RelayFrames.rows(message, refused::add);
+
+        // then
+        assertThat(told).isEmpty();
+        assertThat(refused).hasSize(2);
+    }
+}
