Gate: keys of an evacuated zone are served until they have moved, 2.5 s at most

Ruled out: waiting at the entry (it would hold requests that the owner can serve). Change: the gate serves keys for 2.5 s more, half of the platform's bound; a node that starts while its zone is out serves nothing. Tests: RelayCoreTest, GateDeskTest.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/GateDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/GateDesk.java
@@ -131,7 +131,7 @@
         if (shut || stopping && !keyed) {
             return Optional.of(Refusal.STOPPING);
         }
-        if (rules.evacuated()) {
+        if (rules.evacuated(keyed, now)) {
             return Optional.of(Refusal.EVACUATED);
         }
         if (keyed && !rules.holds(request.key().getAsInt(), now)) {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/GateRules.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/GateRules.java
@@ -4,11 +4,14 @@
 public interface GateRules {
 
     /**
-     * Tells whether operators have taken this node's availability zone out.
+     * Tells whether operators have taken this node's availability zone out. Requests for keys are served a little longer,
+     * until their keys have moved.
      *
-     * @return whether no request may reach the server
+     * @param keyed whether the request is for a key
+     * @param now the monotonic time, in nanoseconds
+     * @return whether no such request may reach the server
      */
-    boolean evacuated();
+    boolean evacuated(boolean keyed, long now);
 
     /**
      * Tells whether the server holds a key.
--- /dev/null
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/Evacuation.java
@@ -0,0 +1,25 @@
+package org.verbenamast.core.relay;
+
+import org.verbenamast.core.node.Timing;
+
+/** Whether this node's availability zone is out, and for how long its keys are still served. */
+final class Evacuation {
+
+    /** Time for which keys are still served, in nanoseconds; half of what the platform allows. */
+    private static final long GRACE = Timing.nanos(2_500);
+
+    private boolean out;
+    private long keyedUntil;
+
+    /** Takes whether the zone is out; a node that has just started does not know for how long it has been. */
+    void noted(boolean nowOut, boolean sawItBefore, long now) {
+        if (nowOut && !out) {
+            keyedUntil = sawItBefore ? now + GRACE : now;
+        }
+        out = nowOut;
+    }
+
+    boolean refuses(boolean keyed, long now) {
+        return out && (!keyed || now >= keyedUntil);
+    }
+}
--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
@@ -56,6 +56,7 @@
     private final KeyDesk keys;
     private final RowWriter membership;
     private final FollowDesk follow;
+    private final Evacuation evacuation = new Evacuation();
     private final ManifestInForce manifest = new ManifestInForce();
     private long nextReport;
     private boolean rosterRead;
@@ -157,6 +158,7 @@
      * @param effects the sink of the effects
      */
     public void zonesOut(Set<Zone> out, long now, Effects effects) {
+        evacuation.noted(out.contains(self.zone()), rosterRead, now);
         roster.zonesOut().stream().filter(zone -> !out.contains(zone)).forEach(zone -> roster.evacuate(zone, false));
         out.forEach(zone -> roster.evacuate(zone, true));
         tellGate(now, effects);
@@ -314,8 +316,8 @@
     }
 
     @Override
-    public boolean evacuated() {
-        return roster.isOut(self.zone());
+    public boolean evacuated(boolean keyed, long now) {
+        return evacuation.refuses(keyed, now);
     }
 
     @Override
--- a/verbenamast-core/src/test/java/org/verbenamast/core/admission/GateDeskTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/admission/GateDeskTest.java
@@ -23,8 +23,8 @@
         private boolean evacuated;
 
         @Override
-        public boolean evacuated() {
-            return evacuated;
+        public boolean evacuated(boolean keyed, long now) {
+            return evacuated && !keyed;
         }
 
         @Override
@@ -213,6 +213,7 @@
         server(1, 0, 0, 0);
         open(1, 500, OptionalInt.empty());
         long waiting = open(1, 500, OptionalInt.empty());
+        long keyed = open(1, 500, OptionalInt.of(7));
 
         // when
         rules.evacuated = true;
@@ -220,6 +221,7 @@
 
         // then
         assertThat(refusalOf(waiting)).isEqualTo(Refusal.EVACUATED);
+        assertThat(refusalOf(keyed)).isNull();
     }
 
     @Test
