--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/GateRules.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/GateRules.java
@@ -4,8 +4,8 @@
 public interface GateRules {
 
     /**
-     * Tells whether operators have taken this node's availability zone out. Requests for keys are served a little longer,
-     * until their keys have moved.
+     * Tells whether operators have taken this node's availability zone out. Requests for keys are served a little
+     * longer, until their keys have moved.
      *
      * @param keyed whether the request is for a key
      * @param now the monotonic time, in nanoseconds
