Names and constants: what a newcomer stumbles over in the last changes

Cause: a read of the whole change: full class names in code, two methods without a caller, constants in the middle of a class, one number that stood for a constant. Change: these.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryDesk.java
@@ -37,6 +37,9 @@
     /** Sends to a second server that are free at first; the fleet's nodes together stay below the platform's slack. */
     private static final long FREE_REPEATS = 2;
 
+    /** The ask, counted from one, at which a request waits even where its objective can't be met. */
+    private static final int LAST_ASK = 3;
+
     private final Population<Long, EntryEvent, EntryData, EntryInput> requests;
     private final ServerChooser chooser;
     private final LoadBook loads = new LoadBook();
@@ -124,9 +127,6 @@
         return EntryInput.routed(best, data.asks() + 1 >= LAST_ASK, Refusal.NO_SERVER);
     }
 
-    /** The ask, counted from one, at which a request waits even where its objective can't be met. */
-    private static final int LAST_ASK = 3;
-
     private EntryInput chooseOwner(EntryData data) {
         EntryRequest request = data.request();
         Optional<Member> owner =
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyMap.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyMap.java
@@ -2,8 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 
 import org.verbenamast.core.check.Checks;
@@ -148,7 +148,7 @@
      * @param gone tells whether a run is gone
      * @return the changed map
      */
-    public KeyMap withoutMovesTo(java.util.function.Predicate<ServerLife> gone) {
+    public KeyMap withoutMovesTo(Predicate<ServerLife> gone) {
         return change(
                 new KeyRange(0, KeyRange.MAX_KEY),
                 lastEpoch,
@@ -178,7 +178,7 @@
 
     private static void add(List<KeyAssignment> list, KeyAssignment next) {
         KeyAssignment last = list.isEmpty() ? null : list.get(list.size() - 1);
-        if (last != null && next.continues(last) && !Objects.equals(next.owner(), Optional.empty())) {
+        if (last != null && next.continues(last)) {
             list.set(
                     list.size() - 1,
                     last.on(new KeyRange(last.range().from(), next.range().to())));
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyPlan.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyPlan.java
@@ -21,6 +21,8 @@
     static final double SETTLED = 1.08;
     /** Part of its capacity from which a server's requests wait for each other, as a ratio. */
     static final double BUSY = 0.5;
+    /** A rest of less than this part of a range (1/32, as a shift) is not worth a range of its own. */
+    private static final int NEARLY_ALL_SHIFT = 5;
     /** Requests counted lately below which loads are too uncertain to move keys for. */
     static final double MIN_HEAT = 30;
 
@@ -113,9 +115,6 @@
         return new KeyRange(range.from(), nearlyAll ? range.to() : to);
     }
 
-    /** A rest of less than this part of a range (1/32, as a shift) is not worth a range of its own. */
-    private static final int NEARLY_ALL_SHIFT = 5;
-
     private ServerLife emptiest() {
         ServerLife emptiest = candidates.get(0).life();
         for (KeyCandidate candidate : candidates) {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/rows/RowReplica.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/rows/RowReplica.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /** The newest rows that a node knows. A row is replaced only by one of a later version. */
@@ -53,7 +54,7 @@
                     && known.version() < version
                     && known.content().isPresent()
                     && known.ref().table().followed()) {
-                gone.add(new StoredRow(known.ref(), version, java.util.Optional.empty()));
+                gone.add(new StoredRow(known.ref(), version, Optional.empty()));
             }
         }
         take(gone);
@@ -67,7 +68,7 @@
      */
     public StoredRow find(RowRef ref) {
         StoredRow known = rows.get(ref);
-        return known == null ? new StoredRow(ref, 0, java.util.Optional.empty()) : known;
+        return known == null ? new StoredRow(ref, 0, Optional.empty()) : known;
     }
 
     /**
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
@@ -10,6 +10,7 @@
 import org.verbenamast.core.admission.Refusal;
 import org.verbenamast.core.entry.EntryEffect;
 import org.verbenamast.core.entry.EntryRequest;
+import org.verbenamast.core.node.Timing;
 import org.verbenamast.core.relay.RelayCore;
 import org.verbenamast.relay.RelayLoop;
 import org.verbenamast.relay.peer.PeerPool;
@@ -28,7 +29,6 @@
     private static final int MOST_HELD = 192 * 1024;
 
     private static final int SERVER_ERROR = 500;
-    private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final EntryRequest request;
     private final RelayOpen head;
@@ -73,9 +73,7 @@
 
     /** Takes a piece of the request's body. */
     void body(byte[] bytes) {
-        if (replayable && kept.size() + bytes.length <= MOST_KEPT) {
-            kept.writeBytes(bytes);
-        } else if (replayable && !accepted) {
+        if (replayable && (!accepted || kept.size() + bytes.length <= MOST_KEPT)) {
             kept.writeBytes(bytes);
         } else {
             replayable = false;
@@ -133,7 +131,7 @@
                 request.route().name(),
                 request.service(),
                 request.key(),
-                (RelayLoop.now() - request.arrivedAt()) / NANOS_PER_MILLI,
+                (RelayLoop.now() - request.arrivedAt()) / Timing.NANOS_PER_MILLI,
                 core.manifest().version());
     }
 
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateExchange.java
@@ -9,6 +9,7 @@
 import org.slf4j.LoggerFactory;
 import org.verbenamast.core.admission.GateRequest;
 import org.verbenamast.core.admission.Refusal;
+import org.verbenamast.core.node.Timing;
 import org.verbenamast.relay.RelayLoop;
 import org.verbenamast.relay.backend.BackendCall;
 import org.verbenamast.relay.backend.BackendPool;
@@ -19,6 +20,7 @@
 import org.verbenamast.wire.generated.RelayFailed;
 import org.verbenamast.wire.generated.RelayField;
 import org.verbenamast.wire.generated.RelayFrame;
+import org.verbenamast.wire.generated.RelayLoad;
 import org.verbenamast.wire.generated.RelayOpen;
 import org.verbenamast.wire.relay.RelayFrames;
 
@@ -32,9 +34,7 @@
     private final RelayOpen open;
     private final BackendCall call;
     private final GateServer server;
-    private boolean bodyEnded;
     private boolean ended;
-    private boolean dispatched;
 
     GateExchange(FrameLink link, GateRequest request, RelayOpen open, BackendPool pool, GateServer server) {
         this.link = Objects.requireNonNull(link, "link");
@@ -48,16 +48,11 @@
         return request.id();
     }
 
-    boolean bodyEnded() {
-        return bodyEnded;
-    }
-
     void body(byte[] bytes) {
         call.body(bytes);
     }
 
     void endBody() {
-        bodyEnded = true;
         call.endBody();
     }
 
@@ -67,7 +62,6 @@
 
     /** Passes the request to the server. */
     void dispatch() {
-        dispatched = true;
         link.send(RelayFrame.newBuilder()
                 .setAccepted(RelayAccepted.getDefaultInstance())
                 .build());
@@ -88,7 +82,7 @@
                 request.attemptId(),
                 request.life(),
                 request.key(),
-                (RelayLoop.now() - request.arrivedAt()) / 1_000_000,
+                (RelayLoop.now() - request.arrivedAt()) / Timing.NANOS_PER_MILLI,
                 server.load().running(),
                 server.load().queued());
     }
@@ -115,7 +109,7 @@
                 .build());
     }
 
-    private org.verbenamast.wire.generated.RelayLoad load() {
+    private RelayLoad load() {
         return RelayFrames.load(server.load());
     }
 
@@ -175,8 +169,4 @@
     public Promise<Void> room() {
         return link.room();
     }
-
-    boolean dispatched() {
-        return dispatched;
-    }
 }
