--- a/verbenamast-core/src/test/java/org/verbenamast/core/admission/GateDeskTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/admission/GateDeskTest.java
@@ -23,8 +23,8 @@
         private boolean evacuated;
 
         @Override
-        public boolean evacuated() {
-            return evacuated;
+        public boolean evacuated(boolean keyed, long now) {
+            return evacuated && !keyed;
         }
 
         @Override
@@ -213,6 +213,7 @@
         server(1, 0, 0, 0);
         open(1, 500, OptionalInt.empty());
         long waiting = open(1, 500, OptionalInt.empty());
+        long keyed = open(1, 500, OptionalInt.of(7));
 
         // when
         rules.evacuated = true;
@@ -220,6 +221,7 @@
 
         // then
         assertThat(refusalOf(waiting)).isEqualTo(Refusal.EVACUATED);
+        assertThat(refusalOf(keyed)).isNull();
     }
 
     @Test
@@ -240,6 +242,24 @@
         assertThat(gate.idle()).isTrue();
     }
 
+    @Test
+    void should_refuse_what_waits_as_soon_as_the_server_could_not_answer_in_time() {
+        // given
+        server(1, 0, 0, 0);
+        for (int i = 0; i < 40; i++) {
+            run("long", 400);
+        }
+        open("long", 1, 500, OptionalInt.empty());
+        long waiting = open("long", 1, 500, OptionalInt.empty());
+
+        // when
+        now += Timing.nanos(1_650);
+        gate.advance(now, effects::add);
+
+        // then
+        assertThat(refusalOf(waiting)).isEqualTo(Refusal.TOO_LATE);
+    }
+
     @Test
     void should_stop_the_server_when_the_sender_has_left() {
         // given
