Command line: charts lists the relay's charts as well

Cause: CtlMainTest.should_know_each_chart_when_charts_are_listed failed in the first whole verify: seven new chart files were not among the names that the command knows. Change: the names. Conclusion: the test passes.

--- a/verbenamast-ctl/src/main/java/org/verbenamast/ctl/ChartCommands.java
+++ b/verbenamast-ctl/src/main/java/org/verbenamast/ctl/ChartCommands.java
@@ -11,16 +11,22 @@
 final class ChartCommands {
 
     static final List<String> NAMES = List.of(
+            "backend",
             "bootstrap",
             "change",
             "command",
             "entry",
+            "entry-request",
+            "follow",
+            "gate-request",
             "health",
             "history",
             "lease",
+            "lease-watch",
             "mark",
             "member",
             "reading",
+            "row-writer",
             "run",
             "serve",
             "server",
@@ -28,6 +34,7 @@
             "store-call",
             "suspect",
             "takeover",
+            "tenure",
             "voucher");
 
     private ChartCommands() {}
