--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryData.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryData.java
@@ -65,6 +65,16 @@
         return more;
     }
 
+    /** Tells whether the request may be sent to one more server. */
+    boolean sendsLeft() {
+        return sends + 1 < request.route().maxAttempts();
+    }
+
+    /** Tells whether the request may run once more though it may have run already. */
+    boolean repeatable() {
+        return request.route().kind().repeatable() && sendsLeft();
+    }
+
     boolean keyed() {
         return request.key().isPresent();
     }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryDesk.java
@@ -217,9 +217,7 @@
     }
 
     private boolean mayRepeat(EntryData data) {
-        return data.request().route().kind().repeatable()
-                && data.sends() + 1 < data.request().route().maxAttempts()
-                && budget(data.request().service()).spend();
+        return data.repeatable() && budget(data.request().service()).spend();
     }
 
     /**
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryGuard.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryGuard.java
@@ -28,9 +28,7 @@
         @Override
         public boolean permits(EntryData data, EntryInput input, long now) {
             boolean sent = input.refusal().arrivals() > 0;
-            boolean allowed = !sent
-                    || input.budget()
-                            && data.sends() + 1 < data.request().route().maxAttempts();
+            boolean allowed = !sent || input.budget() && data.sendsLeft();
             boolean other = input.refusal().otherServerMayServe() && !data.keyed()
                     || data.keyed() && input.refusal().viewOutdated();
             return allowed && other && data.asks() < MOST_ASKS;
@@ -40,9 +38,7 @@
     MAY_REPEAT {
         @Override
         public boolean permits(EntryData data, EntryInput input, long now) {
-            return data.request().route().kind().repeatable()
-                    && input.budget()
-                    && data.sends() + 1 < data.request().route().maxAttempts();
+            return input.budget() && data.repeatable();
         }
     },
     /** The server failed and the request may run once more. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyDesk.java
@@ -292,9 +292,12 @@
     }
 
     private Optional<Member> planner() {
-        return roster.serving(service).stream()
-                .filter(member -> member.node().equals(node) || reachable.test(member))
-                .min((one, other) -> one.node().compareTo(other.node()));
+        return roster.serving(service).stream().filter(this::isHere).min((one, other) -> one.node()
+                .compareTo(other.node()));
+    }
+
+    private boolean isHere(Member member) {
+        return member.node().equals(node) || reachable.test(member);
     }
 
     private boolean plansHere() {
@@ -331,8 +334,7 @@
 
     private boolean isLost(ServerLife owner, long now) {
         Optional<Member> host = roster.hostOf(owner);
-        boolean here = host.filter(member -> member.node().equals(node) || reachable.test(member))
-                .isPresent();
+        boolean here = host.filter(this::isHere).isPresent();
         return suspects.lostFor(owner, here, now) >= SUSPECT_AFTER;
     }
 
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyGrantBook.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyGrantBook.java
@@ -13,7 +13,6 @@
 final class KeyGrantBook {
 
     private final ServerLife life;
-    private final long unknownUntil;
     private final List<FreedKeys> freed = new ArrayList<>();
     private final Map<KeyRange, Long> revoked = new HashMap<>();
     private List<GrantedKeys> granted = List.of();
@@ -26,7 +25,6 @@
      */
     KeyGrantBook(ServerLife life, long unknownUntil) {
         this.life = life;
-        this.unknownUntil = unknownUntil;
         this.grantedUntil = unknownUntil;
     }
 
@@ -96,6 +94,6 @@
 
     /** Tells when all grants to this run have certainly ended. */
     long grantedUntil() {
-        return Math.max(grantedUntil, unknownUntil);
+        return grantedUntil;
     }
 }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/PlatformFront.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/PlatformFront.java
@@ -1,7 +1,6 @@
 package org.verbenamast.relay;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
@@ -20,6 +19,7 @@
 import org.verbenamast.core.model.Address;
 import org.verbenamast.core.relay.RelayCore;
 import org.verbenamast.platform.HeartbeatMessage;
+import org.verbenamast.relay.net.Sockets;
 import org.verbenamast.relay.settings.RelayNodeSettings;
 
 /** What the platform and the backend server ask of this node: readiness and answers to heartbeats. */
@@ -49,7 +49,7 @@
 
     private static HttpServer server(Eventloop eventloop, Address address, AsyncServlet servlet) {
         return HttpServer.builder(eventloop, servlet)
-                .withListenAddress(new InetSocketAddress(address.host(), address.port()))
+                .withListenAddress(Sockets.of(address))
                 .build();
     }
 
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/backend/BackendCall.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/backend/BackendCall.java
@@ -36,9 +36,8 @@
          * Is told that the server said that it has not run the request.
          *
          * @param misdirected whether it is another server or does not hold the key
-         * @param retryAfterMillis when it expects room, in milliseconds; 0 where it did not tell
          */
-        void notRun(boolean misdirected, long retryAfterMillis);
+        void notRun(boolean misdirected);
 
         /**
          * Takes the head of the answer.
@@ -239,7 +238,7 @@
             pool.giveBack(link);
         }
         if (refused) {
-            observer.notRun(answerStatus == MISDIRECTED, 0);
+            observer.notRun(answerStatus == MISDIRECTED);
         } else {
             observer.complete();
         }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerConnection.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerConnection.java
@@ -47,7 +47,6 @@
     private SettablePromise<Void> acceptance;
     private SettablePromise<Void> turn;
     private boolean answering;
-    private boolean answerChunked;
     private boolean bodyEnded = true;
     private boolean closeAfter;
     private long idleSince = RelayLoop.now();
@@ -180,8 +179,7 @@
         answer.getFieldsList().forEach(field -> response.headers().add(field.getName(), field.getValue()));
         boolean noBody = HEAD.equals(head.method().name());
         long length = wholeLength >= 0 && !noBody ? wholeLength : answer.getBodyLength();
-        answerChunked = length < 0;
-        if (!answerChunked) {
+        if (length >= 0) {
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
         } else if (head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
             response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerServer.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerServer.java
@@ -1,7 +1,6 @@
 package org.verbenamast.relay.caller;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -14,7 +13,6 @@
 
 import io.activej.eventloop.Eventloop;
 import io.activej.net.SimpleServer;
-import io.activej.reactor.net.SocketSettings;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -32,9 +30,9 @@
 import org.verbenamast.core.relay.RelayCore;
 import org.verbenamast.platform.RequestFields;
 import org.verbenamast.relay.RelayLoop;
-import org.verbenamast.relay.net.HttpCodec;
+import org.verbenamast.relay.net.EndToEndFields;
+import org.verbenamast.relay.net.Sockets;
 import org.verbenamast.relay.peer.PeerPool;
-import org.verbenamast.wire.generated.RelayField;
 import org.verbenamast.wire.generated.RelayOpen;
 
 /** Where callers on this host, and the backend server itself, send their requests. */
@@ -47,9 +45,6 @@
     /** What a caller who comes before the manifest or at the node's end is told, in milliseconds. */
     private static final long NOT_TAKING_RETRY_MILLIS = 500;
 
-    private static final SocketSettings SETTINGS =
-            SocketSettings.builder().withTcpNoDelay(true).build();
-
     private final SimpleServer server;
     private final String service;
     private final RelayCore core;
@@ -80,8 +75,8 @@
         this.server = SimpleServer.builder(
                         eventloop,
                         socket -> connections.add(new CallerConnection(this, socket, (int) limits().maxHeaderBytes())))
-                .withSocketSettings(SETTINGS)
-                .withListenAddress(new InetSocketAddress(address.host(), address.port()))
+                .withSocketSettings(Sockets.SETTINGS)
+                .withListenAddress(Sockets.of(address))
                 .build();
     }
 
@@ -213,21 +208,20 @@
         }
     }
 
+    /** Tells whether a field goes another way between nodes, or is set anew by them. */
+    private static boolean isLeftOut(String name) {
+        return "host".equalsIgnoreCase(name) || RequestFields.setByNodes(name);
+    }
+
     private RelayOpen open(HttpRequest head) {
-        RelayOpen.Builder open = RelayOpen.newBuilder()
+        return RelayOpen.newBuilder()
                 .setMethod(head.method().name())
                 .setTarget(head.uri())
                 .setHost(head.headers().get(HttpHeaderNames.HOST, ""))
                 .setCallerService(service)
-                .setBodyLength(HttpUtil.isTransferEncodingChunked(head) ? -1 : HttpUtil.getContentLength(head, 0L));
-        head.headers().forEach(field -> {
-            String name = field.getKey();
-            boolean framing = "host".equalsIgnoreCase(name) || "content-length".equalsIgnoreCase(name);
-            if (!framing && !HttpCodec.isHopField(name) && !RequestFields.setByNodes(name)) {
-                open.addFields(RelayField.newBuilder().setName(name).setValue(field.getValue()));
-            }
-        });
-        return open.build();
+                .setBodyLength(HttpUtil.isTransferEncodingChunked(head) ? -1 : HttpUtil.getContentLength(head, 0L))
+                .addAllFields(EndToEndFields.of(head.headers(), CallerServer::isLeftOut))
+                .build();
     }
 
     @Override
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/net/HttpCodec.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/net/HttpCodec.java
@@ -1,7 +1,5 @@
 package org.verbenamast.relay.net;
 
-import java.util.List;
-
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
@@ -138,29 +136,6 @@
         return bytes;
     }
 
-    /** Field names that concern one connection only and are not passed on. */
-    private static final List<String> HOP_FIELDS = List.of(
-            "connection",
-            "keep-alive",
-            "proxy-authenticate",
-            "proxy-authorization",
-            "proxy-connection",
-            "te",
-            "trailer",
-            "transfer-encoding",
-            "upgrade",
-            "expect");
-
-    /**
-     * Tells whether a field concerns one connection only.
-     *
-     * @param name the field's name
-     * @return whether it is not passed on
-     */
-    public static boolean isHopField(String name) {
-        return HOP_FIELDS.stream().anyMatch(name::equalsIgnoreCase);
-    }
-
     @Override
     public void close() {
         channel.finishAndReleaseAll();
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/net/HttpLink.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/net/HttpLink.java
@@ -1,15 +1,11 @@
 package org.verbenamast.relay.net;
 
-import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.Objects;
 
 import io.activej.eventloop.Eventloop;
 import io.activej.net.socket.tcp.ITcpSocket;
-import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.promise.Promise;
 import io.activej.reactor.Reactor;
-import io.activej.reactor.net.SocketSettings;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -22,9 +18,6 @@
     /** Longest head of an answer, in bytes. */
     private static final int MAX_HEAD_BYTES = 64 * 1024;
 
-    private static final SocketSettings SETTINGS =
-            SocketSettings.builder().withTcpNoDelay(true).build();
-
     /** Takes the answer to the request that is under way. */
     public interface Answers {
 
@@ -91,9 +84,7 @@
      * @return the connection
      */
     public static Promise<HttpLink> connect(Eventloop eventloop, Address address, long timeoutMillis) {
-        InetSocketAddress to = new InetSocketAddress(address.host(), address.port());
-        return TcpSocket.connect(eventloop, to, Duration.ofMillis(timeoutMillis), SETTINGS)
-                .map(HttpLink::new);
+        return Sockets.connect(eventloop, address, timeoutMillis).map(HttpLink::new);
     }
 
     /**
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/FrameLink.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/FrameLink.java
@@ -1,20 +1,17 @@
 package org.verbenamast.relay.peer;
 
-import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.Objects;
 
 import io.activej.eventloop.Eventloop;
 import io.activej.net.socket.tcp.ITcpSocket;
-import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.promise.Promise;
 import io.activej.reactor.Reactor;
-import io.activej.reactor.net.SocketSettings;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.verbenamast.core.model.Address;
 import org.verbenamast.relay.net.Inflow;
 import org.verbenamast.relay.net.Outflow;
+import org.verbenamast.relay.net.Sockets;
 import org.verbenamast.wire.FrameCodec;
 import org.verbenamast.wire.WireException;
 import org.verbenamast.wire.generated.RelayFrame;
@@ -27,9 +24,6 @@
     /** Longest frame, in bytes; heads of requests are the longest. */
     private static final int MAX_FRAME_BYTES = 256 * 1024;
 
-    static final SocketSettings SETTINGS =
-            SocketSettings.builder().withTcpNoDelay(true).build();
-
     /** Takes the frames that come. */
     public interface Taker {
 
@@ -76,9 +70,7 @@
     }
 
     static Promise<FrameLink> connect(Eventloop eventloop, Address address, long timeoutMillis) {
-        InetSocketAddress to = new InetSocketAddress(address.host(), address.port());
-        return TcpSocket.connect(eventloop, to, Duration.ofMillis(timeoutMillis), SETTINGS)
-                .map(FrameLink::new);
+        return Sockets.connect(eventloop, address, timeoutMillis).map(FrameLink::new);
     }
 
     /**
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateExchange.java
@@ -7,18 +7,18 @@
 import io.netty.handler.codec.http.HttpResponse;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.verbenamast.core.admission.GateLoad;
 import org.verbenamast.core.admission.GateRequest;
 import org.verbenamast.core.admission.Refusal;
 import org.verbenamast.core.node.Timing;
 import org.verbenamast.relay.RelayLoop;
 import org.verbenamast.relay.backend.BackendCall;
 import org.verbenamast.relay.backend.BackendPool;
-import org.verbenamast.relay.net.HttpCodec;
+import org.verbenamast.relay.net.EndToEndFields;
 import org.verbenamast.wire.generated.RelayAccepted;
 import org.verbenamast.wire.generated.RelayAnswer;
 import org.verbenamast.wire.generated.RelayEnd;
 import org.verbenamast.wire.generated.RelayFailed;
-import org.verbenamast.wire.generated.RelayField;
 import org.verbenamast.wire.generated.RelayFrame;
 import org.verbenamast.wire.generated.RelayLoad;
 import org.verbenamast.wire.generated.RelayOpen;
@@ -75,6 +75,7 @@
     }
 
     private void log(String outcome, String detail) {
+        GateLoad load = server.load();
         LOG.info(
                 "gate {} {}: request {} server {} key {} after {} ms, {} running, {} queued",
                 outcome,
@@ -83,8 +84,8 @@
                 request.life(),
                 request.key(),
                 (RelayLoop.now() - request.arrivedAt()) / Timing.NANOS_PER_MILLI,
-                server.load().running(),
-                server.load().queued());
+                load.running(),
+                load.queued());
     }
 
     /** Stops the request at the server. */
@@ -128,9 +129,9 @@
     }
 
     @Override
-    public void notRun(boolean misdirected, long retryAfterMillis) {
+    public void notRun(boolean misdirected) {
         server.finished(request.id(), false);
-        refuse(misdirected ? Refusal.MISDIRECTED : Refusal.SHED, retryAfterMillis);
+        refuse(misdirected ? Refusal.MISDIRECTED : Refusal.SHED, 0);
     }
 
     @Override
@@ -138,12 +139,8 @@
         RelayAnswer.Builder answer = RelayAnswer.newBuilder()
                 .setStatus(head.status().code())
                 .setBodyLength(length)
+                .addAllFields(EndToEndFields.of(head.headers(), name -> false))
                 .setLoad(load());
-        head.headers().forEach(field -> {
-            if (!HttpCodec.isHopField(field.getKey()) && !"content-length".equalsIgnoreCase(field.getKey())) {
-                answer.addFields(RelayField.newBuilder().setName(field.getKey()).setValue(field.getValue()));
-            }
-        });
         link.send(RelayFrame.newBuilder().setAnswer(answer).build());
     }
 
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateServer.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateServer.java
@@ -1,7 +1,6 @@
 package org.verbenamast.relay.peer;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -22,6 +21,7 @@
 import org.verbenamast.core.rows.StoredRow;
 import org.verbenamast.relay.RelayLoop;
 import org.verbenamast.relay.backend.BackendPool;
+import org.verbenamast.relay.net.Sockets;
 import org.verbenamast.wire.generated.RelayFrame;
 import org.verbenamast.wire.generated.RelayOpen;
 import org.verbenamast.wire.relay.RelayFrames;
@@ -57,8 +57,8 @@
                     links.add(link);
                     link.use(new Incoming(link));
                 })
-                .withSocketSettings(FrameLink.SETTINGS)
-                .withListenAddress(new InetSocketAddress(address.host(), address.port()))
+                .withSocketSettings(Sockets.SETTINGS)
+                .withListenAddress(Sockets.of(address))
                 .build();
     }
 
