Node: says why it exits, with a code of its own; test deployments start such nodes again, as hosts do

On one core the same tests showed it here: a node whose loop stood still for 4.7 s at the start was over its lease, gave up its incarnation, exited with code 0 and without a line that said why, and nothing started it again, though every host would. Ruled out: load alone (14 and 60 busy processes beside the tests passed); other programs on the ports (that was a trial of mine: programs of a test run that I had ended still listened, so blocks with a port in use are passed over now). Change: the effect that stops a node carries its reason, which is logged and decides the exit code (3: start it again); the deployment of the tests restarts nodes that exit with it, and only these, while it waits.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/effect/Effect.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/effect/Effect.java
@@ -138,8 +138,18 @@
         }
     }
 
-    /** Tells the process that nothing holds it back from exiting. */
-    record Stopped() implements Effect {}
+    /**
+     * Tells the process to exit: nothing holds it back.
+     *
+     * @param reason why it exits
+     */
+    record Stopped(StopReason reason) implements Effect {
+
+        /** Checks the reason. */
+        public Stopped {
+            Objects.requireNonNull(reason, "reason");
+        }
+    }
 
     /** Effects of the packages that relay requests on a platform with rows and heartbeats. */
     non-sealed interface Relayed extends Effect {}
--- a/verbenamast-core/src/main/java/org/verbenamast/core/lease/HolderAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/lease/HolderAction.java
@@ -3,6 +3,7 @@
 import org.verbenamast.core.chart.Action;
 import org.verbenamast.core.effect.Effect;
 import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.effect.StopReason;
 
 /** The steps in the chart of this node's own lease. */
 public enum HolderAction implements Action<HolderData, HolderInput> {
@@ -53,7 +54,7 @@
         @Override
         public HolderData apply(HolderData data, HolderInput input, long now, Effects effects) {
             data.desk().giveUp();
-            effects.emit(new Effect.Stopped());
+            effects.emit(new Effect.Stopped(StopReason.LEASE_OVER));
             return data;
         }
     },
--- a/verbenamast-core/src/main/java/org/verbenamast/core/membership/MemberAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/membership/MemberAction.java
@@ -3,6 +3,7 @@
 import org.verbenamast.core.chart.Action;
 import org.verbenamast.core.effect.Effect;
 import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.effect.StopReason;
 
 /** The steps in the chart of this node's own membership. */
 public enum MemberAction implements Action<MemberData, MemberInput> {
@@ -45,11 +46,19 @@
             return data;
         }
     },
-    /** Lets the process exit. */
+    /** Lets the process exit, as it was asked to. */
     TELL_STOPPED {
         @Override
         public MemberData apply(MemberData data, MemberInput input, long now, Effects effects) {
-            effects.emit(new Effect.Stopped());
+            effects.emit(new Effect.Stopped(StopReason.ASKED));
+            return data;
+        }
+    },
+    /** Lets the process exit, so that it starts as another incarnation: others have ended this one. */
+    TELL_ENDED {
+        @Override
+        public MemberData apply(MemberData data, MemberInput input, long now, Effects effects) {
+            effects.emit(new Effect.Stopped(StopReason.ENDED_BY_OTHERS));
             return data;
         }
     }
--- a/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Deployment.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Deployment.java
@@ -6,12 +6,15 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.verbenamast.node.ExitCode;
 
 /** A deployment that runs on this machine, with stand-ins for the platform and the backend servers. */
 public final class Deployment implements AutoCloseable {
@@ -25,6 +28,7 @@
     private final Path folder;
     private final Programs programs;
     private final Map<String, Process> processes = new HashMap<>();
+    private final Set<String> ended = new HashSet<>();
 
     private Deployment(DeploymentPlan plan, PortBlock ports, Wiring wiring, Path root, Path folder) {
         this.plan = plan;
@@ -239,10 +243,41 @@
      */
     public void awaitServing(long timeoutMillis) throws IOException {
         for (DeploymentPlan.HostPlan host : plan.hosts()) {
-            await(host.name() + " has its share", timeoutMillis, () -> hasShare(host));
+            await(host.name() + " has its share", timeoutMillis, () -> {
+                restartEnded();
+                return hasShare(host);
+            });
         }
     }
 
+    /**
+     * Starts each node again that has exited to come back as another incarnation, as its host would. A node that was
+     * killed or asked to stop stays down.
+     *
+     * @throws IOException where a process can't be started
+     */
+    public void restartEnded() throws IOException {
+        for (DeploymentPlan.HostPlan host : plan.hosts()) {
+            Process node = node(host);
+            if (!node.isAlive() && node.exitValue() == ExitCode.ENDED.code()) {
+                ended.add(host.name());
+                startNode(host);
+            }
+        }
+    }
+
+    /**
+     * Tells whether the node of a host has exited to come back as another incarnation.
+     *
+     * @param host the host
+     * @return whether it has, at least once
+     * @throws IOException where it has just now and can't be started again
+     */
+    public boolean hasEnded(DeploymentPlan.HostPlan host) throws IOException {
+        restartEnded();
+        return ended.contains(host.name());
+    }
+
     private boolean hasShare(DeploymentPlan.HostPlan host) throws IOException {
         JsonNode status = Http.json(host.operators(), "/v1/status");
         ServicePlan service = host.service();
--- a/verbenamast-it/src/main/java/org/verbenamast/it/deploy/PortBlock.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/deploy/PortBlock.java
@@ -48,8 +48,9 @@
         List<ServerSocket> locks = new ArrayList<>();
         try {
             for (int i = 0; i < granules; i++) {
-                locks.add(new ServerSocket(
-                        base + i * GRANULE_PORTS + USABLE_PORTS, BACKLOG, InetAddress.getLoopbackAddress()));
+                int first = base + i * GRANULE_PORTS;
+                locks.add(open(first + USABLE_PORTS));
+                probe(first);
             }
             return locks;
         } catch (IOException e) {
@@ -58,6 +59,17 @@
         }
     }
 
+    private static ServerSocket open(int port) throws IOException {
+        return new ServerSocket(port, BACKLOG, InetAddress.getLoopbackAddress());
+    }
+
+    /** Fails where a process listens in a granule that no deployment holds, as one whose test was killed may. */
+    private static void probe(int first) throws IOException {
+        for (int port = first; port < first + USABLE_PORTS; port++) {
+            open(port).close();
+        }
+    }
+
     private static void close(List<ServerSocket> locks) throws IOException {
         for (ServerSocket lock : locks) {
             lock.close();
--- a/verbenamast-it/src/test/java/org/verbenamast/it/PauseTest.java
+++ b/verbenamast-it/src/test/java/org/verbenamast/it/PauseTest.java
@@ -3,7 +3,13 @@
 import java.io.IOException;
 
 import org.junit.jupiter.api.Test;
+import org.verbenamast.it.deploy.Deployment;
+import org.verbenamast.it.deploy.Faults;
 import org.verbenamast.it.deploy.Plans;
+import org.verbenamast.it.deploy.Wiring;
+import org.verbenamast.node.ExitCode;
+
+import static org.assertj.core.api.Assertions.assertThat;
 
 class PauseTest {
 
@@ -22,6 +28,22 @@
         }
     }
 
+    @Test
+    void should_have_its_share_again_when_a_node_was_frozen_before_it_was_asked_for_anything() throws Exception {
+        try (Deployment deployment = Deployed.start(Plans.small("pause-start", 3, 0), Wiring.DIRECT)) {
+            Faults faults = new Faults(deployment);
+            Process frozen = deployment.node(deployment.plan().hosts().get(1));
+            faults.freeze(frozen);
+            Thread.sleep(OVER_THE_LEASE_MILLIS);
+            faults.wake(frozen);
+            Deployment.await("the frozen node has ended", Deployed.HUNG_MILLIS, () -> !frozen.isAlive());
+
+            deployment.awaitServing(Deployed.HUNG_MILLIS);
+
+            assertThat(frozen.exitValue()).isEqualTo(ExitCode.ENDED.code());
+        }
+    }
+
     @Test
     void should_go_on_when_a_node_is_frozen_for_less_than_its_lease() throws IOException {
         try (FaultRun run = FaultRun.start(Plans.small("pause-short", 4, 0))) {
--- a/verbenamast-node/src/main/java/org/verbenamast/node/ExitCode.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/ExitCode.java
@@ -7,7 +7,9 @@
     /** The node failed while running. */
     FAILED(1),
     /** The command line or the settings have faults. */
-    BAD_INPUT(2);
+    BAD_INPUT(2),
+    /** The node may not serve any more; the host is to start it again, as another incarnation. */
+    ENDED(3);
 
     private final int code;
 
--- a/verbenamast-node/src/main/java/org/verbenamast/node/NodeEffects.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/NodeEffects.java
@@ -1,8 +1,10 @@
 package org.verbenamast.node;
 
 import java.util.Objects;
+import java.util.function.Consumer;
 
 import org.verbenamast.core.effect.Effect;
+import org.verbenamast.core.effect.StopReason;
 import org.verbenamast.core.membership.MemberRow;
 import org.verbenamast.core.message.PeerMessage;
 import org.verbenamast.core.node.NodeCore;
@@ -21,14 +23,14 @@
 
     private final NodeCore core;
     private final Spans spans;
-    private final Runnable stopped;
+    private final Consumer<StopReason> stopped;
     private CallerFront callers;
     private OperatorFront operators;
     private PeerLinks peers;
     private PlatformClient platform;
     private ServerClient server;
 
-    NodeEffects(NodeCore core, Spans spans, Runnable stopped) {
+    NodeEffects(NodeCore core, Spans spans, Consumer<StopReason> stopped) {
         this.core = Objects.requireNonNull(core, "core");
         this.spans = Objects.requireNonNull(spans, "spans");
         this.stopped = Objects.requireNonNull(stopped, "stopped");
@@ -67,8 +69,8 @@
             operators.calls().answer(answer);
         } else if (effect instanceof Effect.ShowOperator show) {
             operators.calls().show(show);
-        } else if (effect instanceof Effect.Stopped) {
-            stopped.run();
+        } else if (effect instanceof Effect.Stopped stop) {
+            stopped.accept(stop.reason());
         }
     }
 
--- a/verbenamast-node/src/main/java/org/verbenamast/node/NodeMain.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/NodeMain.java
@@ -11,6 +11,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.slf4j.bridge.SLF4JBridgeHandler;
+import org.verbenamast.core.effect.StopReason;
 import org.verbenamast.node.settings.NodeSettings;
 import org.verbenamast.node.settings.NodeSettingsReader;
 import org.verbenamast.wire.settings.SettingsFault;
@@ -84,9 +85,9 @@
         SLF4JBridgeHandler.install();
         Logger log = LoggerFactory.getLogger(NodeMain.class);
         try (NodeProcess process = new NodeProcess(settings)) {
-            process.run();
+            StopReason reason = process.run();
             log.info("node stopped");
-            return ExitCode.OK;
+            return reason.restarts() ? ExitCode.ENDED : ExitCode.OK;
         } catch (Exception e) {
             log.error("node failed", e);
             return ExitCode.FAILED;
--- a/verbenamast-node/src/main/java/org/verbenamast/node/NodeProcess.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/NodeProcess.java
@@ -7,6 +7,7 @@
 import io.activej.http.HttpClient;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.verbenamast.core.effect.StopReason;
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.node.CoreSettings;
 import org.verbenamast.core.node.NodeCore;
@@ -38,6 +39,7 @@
     private final PeerServer peerServer;
     private final PeerLinks peerLinks;
     private final Spans spans;
+    private StopReason stopReason = StopReason.ASKED;
 
     /**
      * Makes a node that does not run yet.
@@ -89,11 +91,12 @@
     }
 
     /**
-     * Runs the node until it is asked to stop and has nothing left to do.
+     * Runs the node until it is asked to stop and has nothing left to do, or may not serve any more.
      *
+     * @return why it stopped
      * @throws IOException where an address can't be used
      */
-    public void run() throws IOException {
+    public StopReason run() throws IOException {
         callers.listen();
         operators.listen();
         peerServer.listen();
@@ -102,9 +105,12 @@
         eventloop.keepAlive(true);
         eventloop.post(() -> loop.feed(new NodeInput.Tick()));
         eventloop.run();
+        return stopReason;
     }
 
-    private void stopped() {
+    private void stopped(StopReason reason) {
+        stopReason = reason;
+        LOG.info("node {} stops: {}", settings.node(), reason);
         eventloop.post(() -> callers.finish().whenComplete(eventloop::breakEventloop));
     }
 
