Relay: an answer cut off is forgotten; a connection closes after the body of an early answer

Cause: found in a read of the connection. An answer that was broken off stayed among the requests under way, so that a stopping node waited until its margin; and where an answer came before the end of the request's body and the connection was to close, nothing closed it once the body had come. Ruled out: closing at the early answer, as bytes that still come would reset the connection and lose the answer. Change: breaking off forgets the exchange; the end of a body closes a connection whose last request is answered. A caller who leaves is told to the decisions first and forgotten after, as before, so that the try at the other node is withdrawn.

--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerConnection.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerConnection.java
@@ -123,7 +123,11 @@
 
     private void takeBody(byte[] bytes, boolean last) {
         bodyEnded = last;
-        if (exchange == null || !answering) {
+        if (!answering) {
+            closeIfAsked();
+            return;
+        }
+        if (exchange == null) {
             return;
         }
         if (bytes.length > 0) {
@@ -212,21 +216,23 @@
     /** Breaks the connection off, so that what was sent of the answer does not look whole. */
     void cut() {
         close();
+        forgetExchange();
         server.closed(this);
     }
 
-    private void finish() {
+    private void forgetExchange() {
         if (exchange != null) {
             server.ended(exchange);
+            exchange = null;
         }
-        exchange = null;
+    }
+
+    private void finish() {
+        forgetExchange();
         answering = false;
         idleSince = RelayLoop.now();
         accepted();
-        if (closeAfter && bodyEnded) {
-            inflow.stop();
-            outflow.closeWhenWritten();
-            server.closed(this);
+        if (closeIfAsked()) {
             return;
         }
         takeParts();
@@ -237,6 +243,17 @@
         }
     }
 
+    /** Closes once the request is read and answered, where either side wanted it to be the last. */
+    private boolean closeIfAsked() {
+        if (!closeAfter || !bodyEnded) {
+            return false;
+        }
+        inflow.stop();
+        outflow.closeWhenWritten();
+        server.closed(this);
+        return true;
+    }
+
     Promise<Void> whenAccepted() {
         if (acceptance == null) {
             acceptance = new SettablePromise<>();
--- /dev/null
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/caller/CallerServerTest.java
@@ -0,0 +1,162 @@
+package org.verbenamast.relay.caller;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+
+import io.activej.eventloop.Eventloop;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.verbenamast.core.chart.TransitionListener;
+import org.verbenamast.core.effect.Effect;
+import org.verbenamast.core.entry.EntryEffect;
+import org.verbenamast.core.keys.TenureTerms;
+import org.verbenamast.core.manifest.Manifest;
+import org.verbenamast.core.manifest.RequestKind;
+import org.verbenamast.core.manifest.RequestLimits;
+import org.verbenamast.core.manifest.Route;
+import org.verbenamast.core.manifest.ServiceRules;
+import org.verbenamast.core.manifest.Split;
+import org.verbenamast.core.model.Address;
+import org.verbenamast.core.model.Zone;
+import org.verbenamast.core.relay.RelayCore;
+import org.verbenamast.core.relay.RelaySettings;
+import org.verbenamast.core.roster.Member;
+import org.verbenamast.core.roster.ServerLife;
+import org.verbenamast.core.roster.ServerState;
+import org.verbenamast.core.rows.RowRef;
+import org.verbenamast.core.rows.RowTable;
+import org.verbenamast.core.rows.StoredRow;
+import org.verbenamast.platform.RequestFields;
+import org.verbenamast.relay.RelayLoop;
+import org.verbenamast.relay.peer.PeerPool;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class CallerServerTest {
+
+    private static final Zone ZONE = new Zone("a");
+    /** Steps of the loop after which a wait counts as hung. */
+    private static final int MOST_STEPS = 20_000;
+
+    private final Eventloop eventloop = Eventloop.builder().withCurrentThread().build();
+    private final RelayCore core = new RelayCore(
+            new RelaySettings(
+                    "node", 7, ZONE, "desk", new Address("127.0.0.1", 1), TenureTerms.DEFAULT, 2_000, 0, () -> 0.5),
+            TransitionListener.NONE);
+    private final RelayLoop loop = new RelayLoop(eventloop, core, this::run);
+    private final PeerPool peers = new PeerPool(eventloop);
+    private ServerSocket peer;
+    private CallerServer server;
+    private Socket caller;
+
+    @BeforeEach
+    void start() throws IOException {
+        peer = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        int port = freePort();
+        server = new CallerServer(eventloop, new Address("127.0.0.1", port), "desk", core, loop, peers);
+        server.listen();
+        eventloop.keepAlive(true);
+        caller = new Socket();
+        caller.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+    }
+
+    @AfterEach
+    void stop() throws IOException {
+        caller.close();
+        server.close();
+        peers.close();
+        peer.close();
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return probe.getLocalPort();
+        }
+    }
+
+    private void run(Effect effect) {
+        if (effect instanceof EntryEffect entry) {
+            server.run(entry);
+        }
+    }
+
+    private void runUntil(BooleanSupplier condition) {
+        for (int step = 0; step < MOST_STEPS && !condition.getAsBoolean(); step++) {
+            eventloop.delay(1, eventloop::breakEventloop);
+            eventloop.run();
+        }
+        assertThat(condition.getAsBoolean()).isTrue();
+    }
+
+    private void send(String text) throws IOException {
+        caller.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    private boolean received(int bytes) {
+        try {
+            return caller.getInputStream().available() >= bytes;
+        } catch (IOException e) {
+            throw new AssertionError("the connection should still be open", e);
+        }
+    }
+
+    private void knowOneServer() {
+        Route route =
+                new Route("items", "shop", "/", RequestKind.SAFE, 60_000, 30_000, 1, 1, List.of(new Split("stock", 1)));
+        ServiceRules rules = new ServiceRules("stock", 10, 0, false);
+        core.manifest(new Manifest(1, List.of(route), List.of(rules), RequestLimits.DEFAULT), 0, effect -> {});
+        Member member = new Member(
+                "other",
+                new Address("127.0.0.1", peer.getLocalPort()),
+                ZONE,
+                "stock",
+                new ServerLife("stock-1", 1),
+                4,
+                ServerState.READY);
+        StoredRow row = new StoredRow(new RowRef(RowTable.MEMBERS, "other"), 1, Optional.of(member));
+        core.allRows(List.of(row), 1, RelayLoop.now(), effect -> {});
+    }
+
+    @Test
+    void should_close_when_the_body_of_an_answered_request_has_come_and_the_caller_wants_no_more() throws IOException {
+        // given
+        send("POST /items HTTP/1.1\r\nHost: shop\r\nConnection: close\r\nContent-Length: 4\r\n\r\n");
+        runUntil(() -> received("HTTP/1.1 503".length()));
+        byte[] answer =
+                caller.getInputStream().readNBytes(caller.getInputStream().available());
+        assertThat(new String(answer, StandardCharsets.ISO_8859_1)).contains("connection: close");
+        caller.setSoTimeout(5_000);
+
+        // when
+        send("body");
+        for (int step = 0; step < 50; step++) {
+            eventloop.delay(1, eventloop::breakEventloop);
+            eventloop.run();
+        }
+
+        // then
+        assertThat(caller.getInputStream().read()).isEqualTo(-1);
+    }
+
+    @Test
+    void should_be_idle_when_the_only_answer_is_cut_off() throws IOException {
+        // given
+        knowOneServer();
+        send("GET /items HTTP/1.1\r\nHost: shop\r\n" + RequestFields.ATTEMPT_ID + ": 1\r\n\r\n");
+        runUntil(() -> !server.idle());
+
+        // when
+        server.run(new EntryEffect.Cut(1));
+
+        // then
+        assertThat(server.idle()).isTrue();
+    }
+}
