Command line: why ID FILE tells a request's story from log files

Cause: on-call engineers have log files of many nodes and a request's id, and had to search them by hand. Ruled out: a command of its own beside why, as both answer the same question from other sources.

--- a/verbenamast-ctl/src/main/java/org/verbenamast/ctl/CtlCommand.java
+++ b/verbenamast-ctl/src/main/java/org/verbenamast/ctl/CtlCommand.java
@@ -49,9 +49,10 @@
             "print who owns each slice, or the slice of a key; --service narrows",
             FleetCommands::owners),
     WHY(
-            "why SUBJECT",
-            "print the recorded decisions of all given nodes about a slice, request or change",
-            FleetCommands::why),
+            "why SUBJECT [FILE...]",
+            "print the recorded decisions of all given nodes about a slice, request or change; with log files (- for"
+                    + " standard input), what they tell of a request",
+            session -> session.options().words.size() > 2 ? LogCommands.why(session) : FleetCommands.why(session)),
     WATCH("watch", "print the status each second for --seconds", FleetCommands::watch),
     CHARTS("charts [NAME]", "print the state charts; --format text, dot or mermaid", ChartCommands::charts),
     KEYGEN("keygen", "print a new key for an operator", FleetCommands::keygen);
