--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerConnection.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerConnection.java
@@ -47,7 +47,6 @@
     private SettablePromise<Void> acceptance;
     private SettablePromise<Void> turn;
     private boolean answering;
-    private boolean answerChunked;
     private boolean bodyEnded = true;
     private boolean closeAfter;
     private long idleSince = RelayLoop.now();
@@ -124,7 +123,11 @@
 
     private void takeBody(byte[] bytes, boolean last) {
         bodyEnded = last;
-        if (exchange == null || !answering) {
+        if (!answering) {
+            closeIfAsked();
+            return;
+        }
+        if (exchange == null) {
             return;
         }
         if (bytes.length > 0) {
@@ -180,8 +183,7 @@
         answer.getFieldsList().forEach(field -> response.headers().add(field.getName(), field.getValue()));
         boolean noBody = HEAD.equals(head.method().name());
         long length = wholeLength >= 0 && !noBody ? wholeLength : answer.getBodyLength();
-        answerChunked = length < 0;
-        if (!answerChunked) {
+        if (length >= 0) {
             response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
         } else if (head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
             response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
@@ -214,21 +216,23 @@
     /** Breaks the connection off, so that what was sent of the answer does not look whole. */
     void cut() {
         close();
+        forgetExchange();
         server.closed(this);
     }
 
-    private void finish() {
+    private void forgetExchange() {
         if (exchange != null) {
             server.ended(exchange);
+            exchange = null;
         }
-        exchange = null;
+    }
+
+    private void finish() {
+        forgetExchange();
         answering = false;
         idleSince = RelayLoop.now();
         accepted();
-        if (closeAfter && bodyEnded) {
-            inflow.stop();
-            outflow.closeWhenWritten();
-            server.closed(this);
+        if (closeIfAsked()) {
             return;
         }
         takeParts();
@@ -239,6 +243,17 @@
         }
     }
 
+    /** Closes once the request is read and answered, where either side wanted it to be the last. */
+    private boolean closeIfAsked() {
+        if (!closeAfter || !bodyEnded) {
+            return false;
+        }
+        inflow.stop();
+        outflow.closeWhenWritten();
+        server.closed(this);
+        return true;
+    }
+
     Promise<Void> whenAccepted() {
         if (acceptance == null) {
             acceptance = new SettablePromise<>();
