--- a/verbenamast-core/src/test/java/org/verbenamast/core/keys/KeyScheduleTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/keys/KeyScheduleTest.java
@@ -2,16 +2,19 @@
 
 import java.util.Random;
 
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
 /** No key ever has two holders, whatever fails; once nothing fails, every key has one. */
+@Execution(ExecutionMode.CONCURRENT)
 class KeyScheduleTest {
 
     /** Schedules in each of the four groups; more are asked for by the property, as before a release. */
-    private static final int SEEDS_A_GROUP = Integer.getInteger("schedules.each", 75);
+    private static final int SEEDS_A_GROUP = Integer.getInteger("schedules.each", 2_500);
 
     private static final int FAULTS = 6;
 
