--- a/verbenamast-it/src/main/java/org/verbenamast/it/check/Records.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/check/Records.java
@@ -18,7 +18,6 @@
 public final class Records {
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
-    private static final String ENDED = "ended";
 
     private Records() {}
 
@@ -31,11 +30,27 @@
      * @throws IOException where a record can't be read
      */
     public static List<ServedRun> of(Deployment deployment, String service) throws IOException {
-        List<ServedRun> served = new ArrayList<>();
+        Map<String, Path> files = new HashMap<>();
         for (HostPlan host : deployment.plan().hosts()) {
-            Path file = deployment.record(host);
-            if (host.service().name().equals(service) && Files.exists(file)) {
-                served.addAll(join(host.name(), read(file)));
+            if (host.service().name().equals(service)) {
+                files.put(host.name(), deployment.record(host));
+            }
+        }
+        return of(files);
+    }
+
+    /**
+     * Reads the records of backend servers.
+     *
+     * @param files the file of each, by the name of its host; one that recorded nothing may have none
+     * @return the requests that reached them, ordered by time
+     * @throws IOException where a record can't be read
+     */
+    public static List<ServedRun> of(Map<String, Path> files) throws IOException {
+        List<ServedRun> served = new ArrayList<>();
+        for (Map.Entry<String, Path> file : files.entrySet()) {
+            if (Files.exists(file.getValue())) {
+                served.addAll(join(file.getKey(), read(file.getValue())));
             }
         }
         served.sort(Comparator.comparingLong(one -> one.run().startMicros()));
@@ -53,10 +68,10 @@
     static List<ServedRun> join(String host, List<Run> runs) {
         Map<String, Long> ends = new HashMap<>();
         runs.stream()
-                .filter(run -> ENDED.equals(run.kind()))
+                .filter(run -> Run.ENDED.equals(run.kind()))
                 .forEach(run -> ends.put(run.request(), run.startMicros()));
         return runs.stream()
-                .filter(run -> !ENDED.equals(run.kind()))
+                .filter(run -> !Run.ENDED.equals(run.kind()))
                 .map(run -> new ServedRun(host, run, ends.getOrDefault(run.request(), run.startMicros())))
                 .toList();
     }
--- a/verbenamast-it/src/main/java/org/verbenamast/it/check/ServedRun.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/check/ServedRun.java
@@ -20,7 +20,7 @@
     }
 
     boolean ran() {
-        return "ran".equals(run.kind());
+        return Run.RAN.equals(run.kind());
     }
 
     boolean keyed() {
--- a/verbenamast-it/src/main/java/org/verbenamast/it/deploy/RelayFleet.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/deploy/RelayFleet.java
@@ -14,7 +14,10 @@
  */
 public final class RelayFleet implements AutoCloseable {
 
-    private static final int PORTS_PER_HOST = 6;
+    private static final int PORTS_PER_HOST = 7;
+    /** The number of a host's port at which the proxy takes connections to the store. */
+    private static final int STORE_ROUTE = 6;
+
     private static final long END_SECONDS = 10;
     private static final String MANIFEST = """
             {"version": 1,
@@ -31,13 +34,16 @@
     private final PortBlock ports;
     private final int hosts;
     private final List<Process> relays = new ArrayList<>();
+    private final List<Process> servers = new ArrayList<>();
     private final List<Process> others = new ArrayList<>();
+    private final Wiring wiring;
 
-    private RelayFleet(Path root, Path folder, PortBlock ports, int hosts) {
+    private RelayFleet(Path root, Path folder, PortBlock ports, int hosts, Wiring wiring) {
         this.folder = Objects.requireNonNull(folder, "folder");
         this.programs = new Programs(root, folder);
         this.ports = ports;
         this.hosts = hosts;
+        this.wiring = Objects.requireNonNull(wiring, "wiring");
     }
 
     /**
@@ -46,17 +52,22 @@
      * @param root the root of the repository
      * @param folder where settings and logs go
      * @param hosts how many hosts, two at least
+     * @param wiring whether the store is reached through the fault proxy, on a route for each host
      * @return the fleet; it may not be ready yet
      * @throws IOException where a process can't be started
      */
-    public static RelayFleet start(Path root, Path folder, int hosts) throws IOException {
+    public static RelayFleet start(Path root, Path folder, int hosts, Wiring wiring) throws IOException {
         Files.createDirectories(folder);
-        RelayFleet fleet = new RelayFleet(root, folder, PortBlock.reserve(hosts * PORTS_PER_HOST + 1), hosts);
+        RelayFleet fleet = new RelayFleet(root, folder, PortBlock.reserve(hosts * PORTS_PER_HOST + 2), hosts, wiring);
         Path manifest = Files.writeString(folder.resolve("manifest.json"), MANIFEST);
         fleet.others.add(fleet.programs.standin(
                 "rows", List.of("rows", "--listen", fleet.store(), "--manifest", manifest.toString())));
+        if (wiring == Wiring.PROXIED) {
+            fleet.startProxy();
+        }
         for (int host = 0; host < hosts; host++) {
             fleet.relays.add(null);
+            fleet.servers.add(null);
             fleet.startRelay(host);
             fleet.startServer(host);
         }
@@ -67,6 +78,34 @@
         return "127.0.0.1:" + PortBlock.port(ports.base(), port);
     }
 
+    private void startProxy() throws IOException {
+        List<String> args = new ArrayList<>(List.of("proxy", "--control", proxyControl()));
+        for (int host = 0; host < hosts; host++) {
+            args.add("--route");
+            args.add(storeRoute(host) + "=" + address(host, STORE_ROUTE) + "=" + store());
+        }
+        others.add(programs.standin("proxy", args));
+    }
+
+    /**
+     * Returns the address where faults of the proxy are set.
+     *
+     * @return the address
+     */
+    public String proxyControl() {
+        return address(hosts * PORTS_PER_HOST + 1);
+    }
+
+    /**
+     * Returns the proxy's route from a host to the store.
+     *
+     * @param host the host
+     * @return the name of the route
+     */
+    public String storeRoute(int host) {
+        return "store-" + host;
+    }
+
     private String store() {
         return address(hosts * PORTS_PER_HOST);
     }
@@ -98,24 +137,34 @@
                         address(host, 3),
                         address(host, 4),
                         address(host, 5),
-                        store());
+                        wiring == Wiring.PROXIED ? address(host, STORE_ROUTE) : store());
         Path file = Files.writeString(folder.resolve("node-" + host + ".json"), settings);
         relays.set(host, programs.relay("node-" + host, file));
     }
 
-    private void startServer(int host) throws IOException {
-        others.add(programs.standin(
-                "server-" + host,
-                List.of(
-                        "beats",
-                        "--listen",
-                        address(host, 0),
-                        "--heartbeats",
-                        address(host, 3),
-                        "--service",
-                        service(host),
-                        "--id",
-                        "server-" + host)));
+    /**
+     * Starts the backend server of a host.
+     *
+     * @param host the host
+     * @throws IOException where the process can't be started
+     */
+    public void startServer(int host) throws IOException {
+        servers.set(
+                host,
+                programs.standin(
+                        "server-" + host,
+                        List.of(
+                                "beats",
+                                "--listen",
+                                address(host, 0),
+                                "--heartbeats",
+                                address(host, 3),
+                                "--service",
+                                service(host),
+                                "--id",
+                                "server-" + host,
+                                "--record",
+                                record(host).toString())));
     }
 
     /**
@@ -128,6 +177,35 @@
         return relays.get(host);
     }
 
+    /**
+     * Returns the backend server of a host.
+     *
+     * @param host the host
+     * @return the process
+     */
+    public Process server(int host) {
+        return servers.get(host);
+    }
+
+    /**
+     * Returns the file in which a backend server records what it runs.
+     *
+     * @param host the host
+     * @return the file, which may not be there yet
+     */
+    public Path record(int host) {
+        return folder.resolve("record-" + host + ".jsonl");
+    }
+
+    /**
+     * Returns how many hosts there are.
+     *
+     * @return the number of hosts
+     */
+    public int hosts() {
+        return hosts;
+    }
+
     /**
      * Returns where callers of a host send their requests.
      *
@@ -141,6 +219,7 @@
     @Override
     public void close() throws IOException {
         List<Process> all = new ArrayList<>(relays);
+        all.addAll(servers);
         all.addAll(others);
         all.forEach(Process::destroyForcibly);
         for (Process process : all) {
--- a/verbenamast-it/src/test/java/org/verbenamast/it/RelayPathTest.java
+++ b/verbenamast-it/src/test/java/org/verbenamast/it/RelayPathTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.verbenamast.it.deploy.Http;
 import org.verbenamast.it.deploy.RelayFleet;
+import org.verbenamast.it.deploy.Wiring;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -30,7 +31,8 @@
 
     @BeforeAll
     static void start() throws IOException {
-        fleet = RelayFleet.start(Path.of("..").toAbsolutePath().normalize(), Path.of("target", "relay-path"), HOSTS);
+        fleet = RelayFleet.start(
+                Path.of("..").toAbsolutePath().normalize(), Path.of("target", "relay-path"), HOSTS, Wiring.DIRECT);
         for (int host = 0; host < HOSTS; host++) {
             int at = host;
             awaitServed(() -> stock(at, 0));
--- a/verbenamast-standins/src/main/java/org/verbenamast/standins/beats/BeatsOptions.java
+++ b/verbenamast-standins/src/main/java/org/verbenamast/standins/beats/BeatsOptions.java
@@ -22,6 +22,9 @@
     @Parameter(names = "--work-millis", description = "how long a request takes, in milliseconds")
     private int workMillis = 5;
 
+    @Parameter(names = "--record", description = "append each run to this file, as JSON lines")
+    private String record = "";
+
     String listen() {
         return listen;
     }
@@ -41,4 +44,8 @@
     int workMillis() {
         return workMillis;
     }
+
+    String record() {
+        return record;
+    }
 }
--- a/verbenamast-standins/src/main/java/org/verbenamast/standins/beats/BeatsStandin.java
+++ b/verbenamast-standins/src/main/java/org/verbenamast/standins/beats/BeatsStandin.java
@@ -19,6 +19,9 @@
 import io.activej.promise.Promises;
 import org.verbenamast.http.HttpClients;
 import org.verbenamast.standins.Addresses;
+import org.verbenamast.standins.server.Patterns;
+import org.verbenamast.standins.server.Run;
+import org.verbenamast.standins.server.RunLog;
 
 /** Stands in for a backend server: it sends heartbeats, holds the keys that it is granted, and serves only those. */
 public final class BeatsStandin {
@@ -30,6 +33,8 @@
     private static final HttpHeader SIGNATURE = HttpHeaders.of("X-Verbenamast-Response-Signature");
     private static final HttpHeader NOT_RUN = HttpHeaders.of("X-Verbenamast-Not-Executed");
     private static final int MISDIRECTED = 421;
+    private static final long NOT_HELD = -1;
+    private static final long NANOS_PER_MICRO = 1_000;
     private static final int SLOTS = 9;
     private static final long BEAT_MILLIS = 500;
     private static final int MAX_BODY_BYTES = 1 << 20;
@@ -41,17 +46,22 @@
     private JsonNode held = MAPPER.createArrayNode();
     private long heldUntil;
     private long sequence;
+    private final RunLog log;
+    private int running;
+    private long runs;
 
     /**
      * Makes a stand-in that does not listen yet.
      *
      * @param eventloop the one event loop of the process
      * @param options the command line
+     * @throws IOException where runs can't be recorded
      */
-    public BeatsStandin(Eventloop eventloop, BeatsOptions options) {
+    public BeatsStandin(Eventloop eventloop, BeatsOptions options) throws IOException {
         this.eventloop = Objects.requireNonNull(eventloop, "eventloop");
         this.options = Objects.requireNonNull(options, "options");
         this.client = HttpClients.create(eventloop, MAX_BODY_BYTES);
+        this.log = new RunLog(options.record());
     }
 
     /**
@@ -71,35 +81,64 @@
         String id = request.getHeader(ATTEMPT_ID);
         String key = request.getHeader(KEY);
         boolean here = options.id().equals(request.getHeader(TARGET));
-        if (!here || key != null && !holds(Integer.parseInt(key))) {
+        long epoch = key == null ? 0 : epochOf(Integer.parseInt(key));
+        if (!here || epoch == NOT_HELD) {
             return HttpResponse.ofCode(MISDIRECTED)
                     .withHeader(ATTEMPT_ID, id)
                     .withHeader(NOT_RUN, "1")
                     .toPromise();
         }
         return request.loadBody(MAX_BODY_BYTES)
-                .then(body -> Promises.delay(options.workMillis(), body.getArray()))
+                .then(body -> run(request, epoch, body.getArray()))
                 .then(body -> HttpResponse.ok200()
                         .withHeader(ATTEMPT_ID, id)
                         .withHeader(SIGNATURE, options.id())
-                        .withPlainText(options.id()
-                                + ' '
-                                + request.getRelativePath()
-                                + ' '
-                                + new String(body, StandardCharsets.UTF_8))
+                        .withBody(body)
                         .toPromise());
     }
 
-    private boolean holds(int key) {
+    /** Runs a request: the answer is a pattern where a number of bytes is asked for, or else what was sent. */
+    private Promise<byte[]> run(HttpRequest request, long epoch, byte[] body) {
+        String run = options.id() + '-' + startedAt + '-' + ++runs;
+        running++;
+        record(request, run, epoch, Run.RAN);
+        String bytes = request.getQueryParameter("bytes");
+        String echo = options.id() + ' ' + request.getRelativePath() + ' ' + new String(body, StandardCharsets.UTF_8);
+        byte[] answer = bytes == null
+                ? echo.getBytes(StandardCharsets.UTF_8)
+                : Patterns.of(request.getPath(), Integer.parseInt(bytes));
+        return Promises.delay(options.workMillis(), answer).whenComplete(() -> {
+            running--;
+            record(request, run, epoch, Run.ENDED);
+        });
+    }
+
+    private void record(HttpRequest request, String run, long epoch, String kind) {
+        String key = request.getHeader(KEY);
+        log.add(new Run(
+                run,
+                key == null ? "" : key,
+                key == null ? -1 : Integer.parseInt(key),
+                epoch,
+                request.getMethod().name(),
+                request.getPath(),
+                request.getHeader(ATTEMPT_ID),
+                System.nanoTime() / NANOS_PER_MICRO,
+                running,
+                kind));
+    }
+
+    /** Returns the epoch under which a key is held. */
+    private long epochOf(int key) {
         if (System.nanoTime() > heldUntil) {
-            return false;
+            return NOT_HELD;
         }
         for (JsonNode range : held) {
             if (key >= range.get(0).asInt() && key <= range.get(1).asInt()) {
-                return true;
+                return range.get(2).asLong();
             }
         }
-        return false;
+        return NOT_HELD;
     }
 
     private void beat() {
--- a/verbenamast-standins/src/main/java/org/verbenamast/standins/server/Run.java
+++ b/verbenamast-standins/src/main/java/org/verbenamast/standins/server/Run.java
@@ -25,4 +25,10 @@
         String idempotencyKey,
         long startMicros,
         int atOnce,
-        String kind) {}
+        String kind) {
+
+    /** The kind of a record that a request began to run. */
+    public static final String RAN = "ran";
+    /** The kind of a record that a run has ended. */
+    public static final String ENDED = "ended";
+}
--- a/verbenamast-standins/src/main/java/org/verbenamast/standins/server/RunLog.java
+++ b/verbenamast-standins/src/main/java/org/verbenamast/standins/server/RunLog.java
@@ -9,19 +9,29 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 
 /** Keeps what reached a backend server, in memory and in a file that outlives a killed process. */
-final class RunLog {
+public final class RunLog {
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final List<Run> runs = new ArrayList<>();
     private final OutputStream file;
 
-    /** Makes a log that appends to a file, or keeps runs in memory alone where the name is empty. */
-    RunLog(String file) throws IOException {
+    /**
+     * Makes a log.
+     *
+     * @param file the file to append to; runs are kept in memory alone where the name is empty
+     * @throws IOException where the file can't be opened
+     */
+    public RunLog(String file) throws IOException {
         this.file = file.isEmpty() ? OutputStream.nullOutputStream() : new FileOutputStream(file, true);
     }
 
-    void add(Run run) {
+    /**
+     * Records a run.
+     *
+     * @param run the run
+     */
+    public void add(Run run) {
         runs.add(run);
         try {
             file.write((MAPPER.writeValueAsString(run) + "\n").getBytes(java.nio.charset.StandardCharsets.UTF_8));
