Entry: a request that may have run is never refused as not run

Change: the entry notes a try that may have run; where no other server takes the repeat, the caller gets 502, or 504 once its time is over. Guard MAY_HAVE_RUN in the chart of entry requests. Figures: two new tests of EntryDesk failed before (both got a refusal) and pass.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryAction.java
@@ -29,7 +29,7 @@
             return data.resumed();
         }
     },
-    /** Counts that the request has reached a server. */
+    /** Notes that the request has reached a server and may have run there. */
     COUNT_SEND {
         @Override
         public EntryData apply(EntryData data, EntryInput input, long now, Effects effects) {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryData.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryData.java
@@ -18,6 +18,7 @@
  * @param asks how often a node was asked
  * @param refusal why it was refused last
  * @param retryAfterMillis when room is expected, in milliseconds; 0 where it is not known
+ * @param mayHaveRun whether a try ended in a way that promises nothing about the run
  * @param pausing whether to wait before the owner of the key is asked again
  */
 public record EntryData(
@@ -28,6 +29,7 @@
         int asks,
         Refusal refusal,
         long retryAfterMillis,
+        boolean mayHaveRun,
         boolean pausing) {
 
     /** Checks the fields and copies the set. */
@@ -39,24 +41,27 @@
     }
 
     static EntryData arrived(EntryRequest request) {
-        return new EntryData(request, Optional.empty(), Set.of(), 0, 0, Refusal.NO_SERVER, 0, false);
+        return new EntryData(request, Optional.empty(), Set.of(), 0, 0, Refusal.NO_SERVER, 0, false, false);
     }
 
     EntryData opened(Member to) {
-        return new EntryData(request, Optional.of(to), asked, sends, asks + 1, refusal, retryAfterMillis, false);
+        return new EntryData(
+                request, Optional.of(to), asked, sends, asks + 1, refusal, retryAfterMillis, mayHaveRun, false);
     }
 
     EntryData refused(Refusal reason, long millis) {
         long soonest = retryAfterMillis == 0 ? millis : Math.min(retryAfterMillis, millis);
-        return new EntryData(request, target, withTarget(), sends + reason.arrivals(), asks, reason, soonest, true);
+        return new EntryData(
+                request, target, withTarget(), sends + reason.arrivals(), asks, reason, soonest, mayHaveRun, true);
     }
 
+    /** Returns the request after a try of which nobody can tell whether it ran. */
     EntryData sent() {
-        return new EntryData(request, target, withTarget(), sends + 1, asks, refusal, retryAfterMillis, false);
+        return new EntryData(request, target, withTarget(), sends + 1, asks, refusal, retryAfterMillis, true, false);
     }
 
     EntryData resumed() {
-        return new EntryData(request, target, asked, sends, asks, refusal, retryAfterMillis, false);
+        return new EntryData(request, target, asked, sends, asks, refusal, retryAfterMillis, mayHaveRun, false);
     }
 
     private Set<String> withTarget() {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryGuard.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryGuard.java
@@ -34,6 +34,13 @@
             return allowed && other && data.asks() < MOST_ASKS;
         }
     },
+    /** An earlier try may have run, so that nobody may be told that the request has not. */
+    MAY_HAVE_RUN {
+        @Override
+        public boolean permits(EntryData data, EntryInput input, long now) {
+            return data.mayHaveRun();
+        }
+    },
     /** The request may run once more. */
     MAY_REPEAT {
         @Override
--- a/verbenamast-core/src/test/java/org/verbenamast/core/entry/EntryDeskTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/entry/EntryDeskTest.java
@@ -173,4 +173,38 @@
         assertThat(effects).contains(new EntryEffect.Withdraw(id));
         assertThat(last()).isEqualTo(new EntryEffect.Fail(id, true));
     }
+
+    @Test
+    void should_promise_nothing_when_a_lookup_broke_and_no_other_server_takes_it() {
+        // given
+        join("one");
+        join("two");
+        long id = open(RequestKind.SAFE, OptionalInt.empty());
+        desk.broken(id, true, true, now, effects::add);
+
+        // when
+        desk.refused(id, Refusal.FULL, 100, IDLE, now, effects::add);
+
+        // then
+        assertThat(nodesAsked()).hasSize(2);
+        assertThat(last()).isEqualTo(new EntryEffect.Fail(id, false));
+    }
+
+    @Test
+    void should_promise_nothing_when_a_lookup_broke_and_its_key_has_no_server_any_more() {
+        // given
+        Member owner = join("one");
+        own(owner);
+        long id = open(RequestKind.SAFE, OptionalInt.of(7));
+        roster.remove(owner.node());
+
+        // when
+        desk.broken(id, true, true, now, effects::add);
+        now += Timing.nanos(1_001);
+        desk.advance(now, effects::add);
+
+        // then
+        assertThat(last()).isInstanceOfSatisfying(EntryEffect.Fail.class, fail -> assertThat(fail.id())
+                .isEqualTo(id));
+    }
 }
