Relay: metrics on the settings' metrics address

Ruled out: the library's live counters, whose classes would load before the first request after a restart; the page is put together from plain counts when it is asked for, so that a node that nobody scrapes pays for the counts alone. Change: RequestCounts counts ends by hop, route, outcome and reason, durations by bucket and calls to the store; MetricsPage writes them in the text format, with gauges of the gate, the manifest and the members. The number of different ends is bounded. RequestLog counts what it writes.

--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/PlatformFront.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/PlatformFront.java
@@ -21,8 +21,9 @@
 import org.verbenamast.platform.HeartbeatMessage;
 import org.verbenamast.relay.net.Sockets;
 import org.verbenamast.relay.settings.RelayNodeSettings;
+import org.verbenamast.relay.telemetry.MetricsPage;
 
-/** What the platform and the backend server ask of this node: readiness and answers to heartbeats. */
+/** What the platform and the backend server ask of this node: readiness, metrics and answers to heartbeats. */
 final class PlatformFront implements AutoCloseable {
 
     private static final Logger LOG = LoggerFactory.getLogger(PlatformFront.class);
@@ -37,14 +38,23 @@
     private final BooleanSupplier running;
     private final HttpServer ready;
     private final HttpServer heartbeats;
+    private final HttpServer metrics;
+    private final MetricsPage page;
 
     PlatformFront(
-            Eventloop eventloop, RelayNodeSettings settings, RelayCore core, RelayLoop loop, BooleanSupplier running) {
+            Eventloop eventloop,
+            RelayNodeSettings settings,
+            RelayCore core,
+            RelayLoop loop,
+            MetricsPage page,
+            BooleanSupplier running) {
         this.core = Objects.requireNonNull(core, "core");
         this.loop = Objects.requireNonNull(loop, "loop");
         this.running = Objects.requireNonNull(running, "running");
+        this.page = Objects.requireNonNull(page, "page");
         this.ready = server(eventloop, settings.ready(), this::ready);
         this.heartbeats = server(eventloop, settings.heartbeats(), this::heartbeat);
+        this.metrics = server(eventloop, settings.metrics(), this::metrics);
     }
 
     private static HttpServer server(Eventloop eventloop, Address address, AsyncServlet servlet) {
@@ -56,6 +66,7 @@
     void listen() throws IOException {
         ready.listen();
         heartbeats.listen();
+        metrics.listen();
     }
 
     private Promise<HttpResponse> ready(HttpRequest request) {
@@ -63,6 +74,13 @@
         return (takes ? HttpResponse.ok200() : HttpResponse.ofCode(UNAVAILABLE)).toPromise();
     }
 
+    private Promise<HttpResponse> metrics(HttpRequest request) throws IOException {
+        return HttpResponse.ok200()
+                .withHeader(HttpHeaders.CONTENT_TYPE, "text/plain; version=0.0.4; charset=utf-8")
+                .withBody(page.write())
+                .toPromise();
+    }
+
     private Promise<HttpResponse> heartbeat(HttpRequest request) {
         String path = request.getPath();
         if (!path.startsWith(HeartbeatMessage.PATH) || path.length() == HeartbeatMessage.PATH.length()) {
@@ -100,5 +118,6 @@
     public void close() {
         ready.close();
         heartbeats.close();
+        metrics.close();
     }
 }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
@@ -38,6 +38,8 @@
 import org.verbenamast.relay.settings.RelayNodeSettings;
 import org.verbenamast.relay.store.StoreClient;
 import org.verbenamast.relay.store.StoreObserver;
+import org.verbenamast.relay.telemetry.MetricsPage;
+import org.verbenamast.relay.telemetry.RequestCounts;
 import sun.misc.Signal;
 
 /** A node that runs: its parts, put together on one event loop. */
@@ -64,6 +66,7 @@
     private final CallerServer callers;
     private final GateServer gate;
     private final PlatformFront front;
+    private final RequestCounts counts = new RequestCounts();
     private final PeerNews news;
     private final ClockWatch clocks = new ClockWatch(SUSPENSION_MILLIS);
     private long stoppingSince;
@@ -85,9 +88,10 @@
         this.store = new StoreClient(eventloop, settings.store(), this);
         this.peers = new PeerPool(eventloop);
         this.backend = new BackendPool(eventloop, settings.server());
-        this.callers = new CallerServer(eventloop, settings.callers(), settings.service(), core, loop, peers);
-        this.gate = new GateServer(eventloop, settings.peers(), core, loop, backend);
-        this.front = new PlatformFront(eventloop, settings, core, loop, () -> stoppingSince == 0);
+        this.callers = new CallerServer(eventloop, settings.callers(), settings.service(), core, loop, peers, counts);
+        this.gate = new GateServer(eventloop, settings.peers(), core, loop, backend, counts);
+        this.front = new PlatformFront(
+                eventloop, settings, core, loop, new MetricsPage(core, counts), () -> stoppingSince == 0);
         this.news = new PeerNews(peers);
     }
 
@@ -198,6 +202,7 @@
 
     @Override
     public void stored(StorePurpose purpose, long ticket, StoreResult result) {
+        counts.storeCalled(purpose.name(), result.getClass().getSimpleName());
         if (result instanceof StoreResult.Failed failed) {
             LOG.info("store call for {} failed: {}", purpose, failed.failure());
         }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
@@ -13,6 +13,7 @@
 import org.verbenamast.relay.RelayLoop;
 import org.verbenamast.relay.peer.PeerPool;
 import org.verbenamast.relay.telemetry.LogField;
+import org.verbenamast.relay.telemetry.RequestEnd;
 import org.verbenamast.relay.telemetry.RequestLog;
 import org.verbenamast.wire.generated.RelayAnswer;
 import org.verbenamast.wire.generated.RelayOpen;
@@ -34,6 +35,7 @@
     private final RelayCore core;
     private final RelayLoop loop;
     private final PeerPool pool;
+    private final RequestLog log;
     private final ByteArrayOutputStream kept = new ByteArrayOutputStream();
     private final ByteArrayOutputStream held = new ByteArrayOutputStream();
     private RelayTry current;
@@ -54,13 +56,15 @@
             CallerConnection connection,
             RelayCore core,
             RelayLoop loop,
-            PeerPool pool) {
+            PeerPool pool,
+            RequestLog log) {
         this.request = Objects.requireNonNull(request, "request");
         this.head = Objects.requireNonNull(head, "head");
         this.connection = Objects.requireNonNull(connection, "connection");
         this.core = Objects.requireNonNull(core, "core");
         this.loop = Objects.requireNonNull(loop, "loop");
         this.pool = Objects.requireNonNull(pool, "pool");
+        this.log = Objects.requireNonNull(log, "log");
     }
 
     EntryRequest request() {
@@ -123,15 +127,20 @@
     }
 
     private void log(String outcome, String reason, long retryAfterMillis) {
-        RequestLog.ENTRY.failed(outcome, reason, request.attemptId(), inputs(retryAfterMillis));
+        log.ended(
+                new RequestEnd(
+                        outcome, reason, request.attemptId(), request.route().name(), elapsed()),
+                inputs(retryAfterMillis));
+    }
+
+    private long elapsed() {
+        return RelayLoop.now() - request.arrivedAt();
     }
 
     private Object[] inputs(long retryAfterMillis) {
         return new Object[] {
-            LogField.ROUTE.of(request.route().name()),
             LogField.SERVICE.of(request.service()),
             LogField.KEY.of(request.key().isPresent() ? request.key().getAsInt() : ""),
-            LogField.ELAPSED.of((RelayLoop.now() - request.arrivedAt()) / Timing.NANOS_PER_MILLI),
             LogField.ALLOWED.of((request.deadlineAt() - request.arrivedAt()) / Timing.NANOS_PER_MILLI),
             LogField.RETRY_AFTER.of(retryAfterMillis),
             LogField.MANIFEST.of(core.manifest().version()),
@@ -246,7 +255,7 @@
     }
 
     void delivered() {
-        RequestLog.ENTRY.served(request.attemptId(), inputs(0));
+        log.ended(RequestEnd.answered(request.attemptId(), request.route().name(), elapsed()), inputs(0));
         loop.run((now, effects) -> core.entry().delivered(request.id(), now, effects));
     }
 
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerServer.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerServer.java
@@ -33,7 +33,10 @@
 import org.verbenamast.relay.net.EndToEndFields;
 import org.verbenamast.relay.net.Sockets;
 import org.verbenamast.relay.peer.PeerPool;
+import org.verbenamast.relay.telemetry.Hop;
 import org.verbenamast.relay.telemetry.LogField;
+import org.verbenamast.relay.telemetry.RequestCounts;
+import org.verbenamast.relay.telemetry.RequestEnd;
 import org.verbenamast.relay.telemetry.RequestLog;
 import org.verbenamast.wire.generated.RelayOpen;
 
@@ -52,6 +55,7 @@
     private final RelayCore core;
     private final RelayLoop loop;
     private final PeerPool pool;
+    private final RequestLog log;
     private final Map<Long, CallerExchange> exchanges = new HashMap<>();
     private final Set<CallerConnection> connections = new HashSet<>();
     private boolean stopping;
@@ -67,13 +71,21 @@
      * @param core the decisions
      * @param loop runs decisions
      * @param pool the connections to other nodes
+     * @param counts counts how requests end
      */
     public CallerServer(
-            Eventloop eventloop, Address address, String service, RelayCore core, RelayLoop loop, PeerPool pool) {
+            Eventloop eventloop,
+            Address address,
+            String service,
+            RelayCore core,
+            RelayLoop loop,
+            PeerPool pool,
+            RequestCounts counts) {
         this.service = Objects.requireNonNull(service, "service");
         this.core = Objects.requireNonNull(core, "core");
         this.loop = Objects.requireNonNull(loop, "loop");
         this.pool = Objects.requireNonNull(pool, "pool");
+        this.log = new RequestLog(Hop.ENTRY, counts);
         this.server = SimpleServer.builder(
                         eventloop,
                         socket -> connections.add(new CallerConnection(this, socket, (int) limits().maxHeaderBytes())))
@@ -164,10 +176,9 @@
         Optional<Route> route = core.manifest().routes().get().find(host, head.uri());
         String attemptId = head.headers().get(RequestFields.ATTEMPT_ID, "");
         if (route.isEmpty() || attemptId.isEmpty()) {
-            RequestLog.ENTRY.failed(
-                    "refused",
-                    route.isEmpty() ? "NO_ROUTE" : "NO_ID",
-                    attemptId,
+            String reason = route.isEmpty() ? "NO_ROUTE" : "NO_ID";
+            log.ended(
+                    new RequestEnd("refused", reason, attemptId, "", 0),
                     LogField.TARGET.of(host + head.uri()),
                     LogField.MANIFEST.of(core.manifest().version()));
             connection.answer(route.isEmpty() ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.BAD_REQUEST, "");
@@ -190,7 +201,7 @@
                 now,
                 now + Timing.nanos(route.objectiveMillis()),
                 now + Timing.nanos(deadlineMillis));
-        CallerExchange exchange = new CallerExchange(request, open(head), connection, core, loop, pool);
+        CallerExchange exchange = new CallerExchange(request, open(head), connection, core, loop, pool, log);
         exchanges.put(request.id(), exchange);
         connection.begun(exchange);
         exchange.open();
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateExchange.java
@@ -14,7 +14,7 @@
 import org.verbenamast.relay.backend.BackendPool;
 import org.verbenamast.relay.net.EndToEndFields;
 import org.verbenamast.relay.telemetry.LogField;
-import org.verbenamast.relay.telemetry.RequestLog;
+import org.verbenamast.relay.telemetry.RequestEnd;
 import org.verbenamast.wire.generated.RelayAccepted;
 import org.verbenamast.wire.generated.RelayAnswer;
 import org.verbenamast.wire.generated.RelayEnd;
@@ -73,16 +73,21 @@
     }
 
     private void log(String outcome, String reason, long retryAfterMillis) {
-        RequestLog.GATE.failed(outcome, reason, request.attemptId(), inputs(retryAfterMillis));
+        server.log()
+                .ended(
+                        new RequestEnd(outcome, reason, request.attemptId(), request.route(), elapsed()),
+                        inputs(retryAfterMillis));
+    }
+
+    private long elapsed() {
+        return RelayLoop.now() - request.arrivedAt();
     }
 
     private Object[] inputs(long retryAfterMillis) {
         GateLoad load = server.load();
         return new Object[] {
-            LogField.ROUTE.of(request.route()),
             LogField.SERVER.of(request.life()),
             LogField.KEY.of(request.key().isPresent() ? request.key().getAsInt() : ""),
-            LogField.ELAPSED.of((RelayLoop.now() - request.arrivedAt()) / Timing.NANOS_PER_MILLI),
             LogField.ALLOWED.of((request.deadlineAt() - request.arrivedAt()) / Timing.NANOS_PER_MILLI),
             LogField.RETRY_AFTER.of(retryAfterMillis),
             LogField.RUNNING.of(load.running()),
@@ -155,7 +160,7 @@
     @Override
     public void complete() {
         server.finished(request.id(), true);
-        RequestLog.GATE.served(request.attemptId(), inputs(0));
+        server.log().ended(RequestEnd.answered(request.attemptId(), request.route(), elapsed()), inputs(0));
         finish(RelayFrame.newBuilder().setEnd(RelayEnd.getDefaultInstance()).build());
     }
 
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateServer.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateServer.java
@@ -22,6 +22,9 @@
 import org.verbenamast.relay.RelayLoop;
 import org.verbenamast.relay.backend.BackendPool;
 import org.verbenamast.relay.net.Sockets;
+import org.verbenamast.relay.telemetry.Hop;
+import org.verbenamast.relay.telemetry.RequestCounts;
+import org.verbenamast.relay.telemetry.RequestLog;
 import org.verbenamast.wire.generated.RelayFrame;
 import org.verbenamast.wire.generated.RelayOpen;
 import org.verbenamast.wire.relay.RelayFrames;
@@ -35,6 +38,7 @@
     private final RelayCore core;
     private final RelayLoop loop;
     private final BackendPool pool;
+    private final RequestLog log;
     private final Map<Long, GateExchange> exchanges = new HashMap<>();
     private final Set<FrameLink> links = new HashSet<>();
     private long lastId;
@@ -47,11 +51,19 @@
      * @param core the decisions
      * @param loop runs decisions
      * @param pool the connections to the server beside this node
+     * @param counts counts how requests end
      */
-    public GateServer(Eventloop eventloop, Address address, RelayCore core, RelayLoop loop, BackendPool pool) {
+    public GateServer(
+            Eventloop eventloop,
+            Address address,
+            RelayCore core,
+            RelayLoop loop,
+            BackendPool pool,
+            RequestCounts counts) {
         this.core = Objects.requireNonNull(core, "core");
         this.loop = Objects.requireNonNull(loop, "loop");
         this.pool = Objects.requireNonNull(pool, "pool");
+        this.log = new RequestLog(Hop.GATE, counts);
         this.server = SimpleServer.builder(eventloop, socket -> {
                     FrameLink link = new FrameLink(socket);
                     links.add(link);
@@ -93,6 +105,10 @@
         }
     }
 
+    RequestLog log() {
+        return log;
+    }
+
     GateLoad load() {
         return core.gate().load(RelayLoop.now());
     }
--- /dev/null
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/MetricsPage.java
@@ -0,0 +1,128 @@
+package org.verbenamast.relay.telemetry;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.Objects;
+
+import io.prometheus.metrics.config.EscapingScheme;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.snapshots.ClassicHistogramBuckets;
+import io.prometheus.metrics.model.snapshots.CounterSnapshot;
+import io.prometheus.metrics.model.snapshots.CounterSnapshot.CounterDataPointSnapshot;
+import io.prometheus.metrics.model.snapshots.GaugeSnapshot;
+import io.prometheus.metrics.model.snapshots.GaugeSnapshot.GaugeDataPointSnapshot;
+import io.prometheus.metrics.model.snapshots.HistogramSnapshot;
+import io.prometheus.metrics.model.snapshots.HistogramSnapshot.HistogramDataPointSnapshot;
+import io.prometheus.metrics.model.snapshots.Labels;
+import io.prometheus.metrics.model.snapshots.MetricSnapshot;
+import io.prometheus.metrics.model.snapshots.MetricSnapshots;
+import org.verbenamast.core.admission.GateLoad;
+import org.verbenamast.core.relay.RelayCore;
+import org.verbenamast.relay.RelayLoop;
+
+/** The metrics of a node in the Prometheus text format. They are put together when they are asked for. */
+public final class MetricsPage {
+
+    private static final String PREFIX = "verbenamast_relay_";
+
+    private final RelayCore core;
+    private final RequestCounts counts;
+
+    /**
+     * Makes the page of a node.
+     *
+     * @param core the decisions, whose state is shown
+     * @param counts what was counted
+     */
+    public MetricsPage(RelayCore core, RequestCounts counts) {
+        this.core = Objects.requireNonNull(core, "core");
+        this.counts = Objects.requireNonNull(counts, "counts");
+    }
+
+    /**
+     * Writes the page.
+     *
+     * @return the text's bytes
+     * @throws IOException where the writer fails
+     */
+    public byte[] write() throws IOException {
+        GateLoad load = core.gate().load(RelayLoop.now());
+        MetricSnapshots all = MetricSnapshots.builder()
+                .metricSnapshot(requests())
+                .metricSnapshot(durations())
+                .metricSnapshot(storeCalls())
+                .metricSnapshot(gauge("server_running", "Requests that the server runs.", load.running()))
+                .metricSnapshot(gauge("server_slots", "Requests that the server may run at once.", load.slots()))
+                .metricSnapshot(gauge("gate_queued", "Requests that wait in front of the server.", load.queued()))
+                .metricSnapshot(gauge(
+                        "server_service_seconds",
+                        "Service time that the gate reckons with.",
+                        load.serviceMillis() / 1_000.0))
+                .metricSnapshot(gauge(
+                        "manifest_version",
+                        "Version of the manifest in force.",
+                        core.manifest().version()))
+                .metricSnapshot(gauge(
+                        "members",
+                        "Members that the node knows.",
+                        core.roster().members().size()))
+                .metricSnapshot(gauge("ready", "Whether the node can take requests.", core.ready() ? 1 : 0))
+                .build();
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        PrometheusTextFormatWriter.create().write(out, all, EscapingScheme.DEFAULT);
+        return out.toByteArray();
+    }
+
+    private MetricSnapshot requests() {
+        CounterSnapshot.Builder counter = CounterSnapshot.builder()
+                .name(PREFIX + "requests")
+                .help("Requests that ended, by hop, route, outcome and reason.");
+        counts.ends()
+                .forEach((end, count) -> counter.dataPoint(CounterDataPointSnapshot.builder()
+                        .labels(Labels.of(
+                                "hop",
+                                end.hop().text(),
+                                "route",
+                                end.route(),
+                                "outcome",
+                                end.outcome(),
+                                "reason",
+                                end.reason()))
+                        .value(count)
+                        .build()));
+        return counter.build();
+    }
+
+    private MetricSnapshot durations() {
+        HistogramSnapshot.Builder histogram = HistogramSnapshot.builder()
+                .name(PREFIX + "request_duration_seconds")
+                .help("Time from a request to the end of its answer, of those that were served.");
+        counts.durations()
+                .forEach((served, durations) -> histogram.dataPoint(HistogramDataPointSnapshot.builder()
+                        .labels(Labels.of("hop", served.hop().text(), "route", served.route()))
+                        .classicHistogramBuckets(ClassicHistogramBuckets.of(Durations.bounds(), durations.counts()))
+                        .sum(durations.sum())
+                        .build()));
+        return histogram.build();
+    }
+
+    private MetricSnapshot storeCalls() {
+        CounterSnapshot.Builder counter = CounterSnapshot.builder()
+                .name(PREFIX + "store_calls")
+                .help("Calls to the store that ended, by purpose and result.");
+        counts.storeCalls()
+                .forEach((calls, count) -> counter.dataPoint(CounterDataPointSnapshot.builder()
+                        .labels(Labels.of("purpose", calls.purpose(), "result", calls.result()))
+                        .value(count)
+                        .build()));
+        return counter.build();
+    }
+
+    private static MetricSnapshot gauge(String name, String help, double value) {
+        return GaugeSnapshot.builder()
+                .name(PREFIX + name)
+                .help(help)
+                .dataPoint(GaugeDataPointSnapshot.builder().value(value).build())
+                .build();
+    }
+}
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/RequestLog.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/RequestLog.java
@@ -1,20 +1,16 @@
 package org.verbenamast.relay.telemetry;
 
-import java.util.Locale;
 import java.util.Objects;
 
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.verbenamast.core.node.Timing;
 
 /**
- * Writes the decisions that touch requests. Failures are always written; successes are sampled by a hash of the id, so
- * that every hop keeps the lines of the same requests.
+ * Writes the decisions that end requests at one hop, and counts them. Failures are always written; successes are
+ * sampled by a hash of the id, so that every hop keeps the lines of the same requests.
  */
-public enum RequestLog {
-    /** The node that took the request from its caller. */
-    ENTRY,
-    /** The node beside the server. */
-    GATE;
+public final class RequestLog {
 
     private static final Logger LOG = LoggerFactory.getLogger(RequestLog.class);
 
@@ -23,28 +19,30 @@
     /** Spreads hashes of ids that differ in a few last digits; two to the 32nd over the golden ratio. */
     private static final int SPREAD = 0x9E3779B9;
 
+    private final Hop hop;
+    private final RequestCounts counts;
+
     /**
-     * Writes that a request was not served.
+     * Makes the log of a hop.
      *
-     * @param outcome what was decided
-     * @param reason why
-     * @param id the id of the caller's attempt
-     * @param inputs what decided it, as fields
+     * @param hop the hop
+     * @param counts counts what is written and what is not
      */
-    public void failed(String outcome, String reason, String id, Object... inputs) {
-        Objects.requireNonNull(outcome, "outcome");
-        write(outcome, reason, id, inputs);
+    public RequestLog(Hop hop, RequestCounts counts) {
+        this.hop = Objects.requireNonNull(hop, "hop");
+        this.counts = Objects.requireNonNull(counts, "counts");
     }
 
     /**
-     * Writes that a request was served, where its id is in the sample.
+     * Counts the end of a request, and writes it where it failed or its id is in the sample.
      *
-     * @param id the id of the caller's attempt
-     * @param inputs what decided how it went, as fields
+     * @param end how it ended
+     * @param inputs what decided it, as fields
      */
-    public void served(String id, Object... inputs) {
-        if (sampled(id)) {
-            write("answered", "", id, inputs);
+    public void ended(RequestEnd end, Object... inputs) {
+        counts.add(hop, end);
+        if (!end.served() || sampled(end.id())) {
+            write(end, inputs);
         }
     }
 
@@ -58,14 +56,18 @@
         return Integer.remainderUnsigned(id.hashCode() * SPREAD >>> Short.SIZE, SAMPLE) == 0;
     }
 
-    private void write(String outcome, String reason, String id, Object... inputs) {
-        String hop = name().toLowerCase(Locale.ROOT);
-        Object[] fields = new Object[inputs.length + 4];
-        fields[0] = LogField.HOP.of(hop);
-        fields[1] = LogField.OUTCOME.of(outcome);
-        fields[2] = LogField.REASON.of(reason);
-        fields[3] = LogField.REQUEST.of(id);
-        System.arraycopy(inputs, 0, fields, 4, inputs.length);
-        LOG.info(hop + " " + outcome, fields);
+    private void write(RequestEnd end, Object... inputs) {
+        Object[] own = {
+            LogField.HOP.of(hop.text()),
+            LogField.OUTCOME.of(end.outcome()),
+            LogField.REASON.of(end.reason()),
+            LogField.REQUEST.of(end.id()),
+            LogField.ROUTE.of(end.route()),
+            LogField.ELAPSED.of(end.nanos() / Timing.NANOS_PER_MILLI)
+        };
+        Object[] fields = new Object[own.length + inputs.length];
+        System.arraycopy(own, 0, fields, 0, own.length);
+        System.arraycopy(inputs, 0, fields, own.length, inputs.length);
+        LOG.info(hop.text() + " " + end.outcome(), fields);
     }
 }
--- a/verbenamast-relay/src/test/java/org/verbenamast/relay/caller/CallerServerTest.java
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/caller/CallerServerTest.java
@@ -37,6 +37,7 @@
 import org.verbenamast.platform.RequestFields;
 import org.verbenamast.relay.RelayLoop;
 import org.verbenamast.relay.peer.PeerPool;
+import org.verbenamast.relay.telemetry.RequestCounts;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -61,7 +62,8 @@
     void start() throws IOException {
         peer = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         int port = freePort();
-        server = new CallerServer(eventloop, new Address("127.0.0.1", port), "desk", core, loop, peers);
+        server = new CallerServer(
+                eventloop, new Address("127.0.0.1", port), "desk", core, loop, peers, new RequestCounts());
         server.listen();
         eventloop.keepAlive(true);
         caller = new Socket();
--- /dev/null
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/telemetry/MetricsPageTest.java
@@ -0,0 +1,77 @@
+package org.verbenamast.relay.telemetry;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+
+import org.junit.jupiter.api.Test;
+import org.verbenamast.core.chart.TransitionListener;
+import org.verbenamast.core.keys.TenureTerms;
+import org.verbenamast.core.model.Address;
+import org.verbenamast.core.model.Zone;
+import org.verbenamast.core.relay.RelayCore;
+import org.verbenamast.core.relay.RelaySettings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class MetricsPageTest {
+
+    private final RelayCore core = new RelayCore(
+            new RelaySettings(
+                    "node",
+                    7,
+                    new Zone("a"),
+                    "desk",
+                    new Address("127.0.0.1", 1),
+                    TenureTerms.DEFAULT,
+                    2_000,
+                    0,
+                    () -> 0.5),
+            TransitionListener.NONE);
+    private final RequestCounts counts = new RequestCounts();
+
+    private String page() throws IOException {
+        return new String(new MetricsPage(core, counts).write(), StandardCharsets.UTF_8);
+    }
+
+    @Test
+    void should_count_ends_by_route_and_reason_when_requests_ended() throws IOException {
+        // given
+        RequestLog log = new RequestLog(Hop.GATE, counts);
+        log.ended(new RequestEnd("refused", "FULL", "1", "items", 5));
+        log.ended(new RequestEnd("refused", "FULL", "2", "items", 5));
+        log.ended(RequestEnd.answered("3", "items", 250_000_000));
+        counts.storeCalled("KEYS", "Committed");
+
+        // then
+        assertThat(page())
+                .contains("verbenamast_relay_requests_total{hop=\"gate\",outcome=\"refused\",reason=\"FULL\","
+                        + "route=\"items\"} 2.0")
+                .contains(
+                        "verbenamast_relay_request_duration_seconds_bucket{hop=\"gate\",route=\"items\",le=\"0.2\"} 0")
+                .contains(
+                        "verbenamast_relay_request_duration_seconds_bucket{hop=\"gate\",route=\"items\",le=\"0.3\"} 1")
+                .contains("verbenamast_relay_store_calls_total{purpose=\"KEYS\",result=\"Committed\"} 1.0");
+    }
+
+    @Test
+    void should_show_the_state_of_the_node_when_nothing_was_counted() throws IOException {
+        assertThat(page())
+                .contains("verbenamast_relay_ready 0.0")
+                .contains("verbenamast_relay_gate_queued 0.0")
+                .contains("verbenamast_relay_manifest_version 0.0");
+    }
+
+    @Test
+    void should_bound_what_is_kept_when_there_are_very_many_routes() {
+        // given
+        RequestLog log = new RequestLog(Hop.ENTRY, counts);
+
+        // when
+        for (int i = 0; i < 5_000; i++) {
+            log.ended(RequestEnd.answered("" + i, "route-" + i, 1));
+        }
+
+        // then
+        assertThat(counts.ends()).hasSize(2_001);
+    }
+}
--- a/verbenamast-relay/src/test/java/org/verbenamast/relay/telemetry/RequestLogTest.java
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/telemetry/RequestLogTest.java
@@ -43,6 +43,9 @@
         encoder.stop();
     }
 
+    private final RequestLog entry = new RequestLog(Hop.ENTRY, new RequestCounts());
+    private final RequestLog gate = new RequestLog(Hop.GATE, new RequestCounts());
+
     private String onlyLine() {
         assertThat(lines.list).hasSize(1);
         return new String(encoder.encode(lines.list.get(0)), StandardCharsets.UTF_8);
@@ -51,13 +54,15 @@
     @Test
     void should_write_the_deciding_inputs_as_fields_when_a_request_is_refused() throws IOException {
         // when
-        RequestLog.GATE.failed("refused", "FULL", "id-1", LogField.QUEUED.of(7), LogField.SERVICE_TIME.of(150));
+        RequestEnd end = new RequestEnd("refused", "FULL", "id-1", "items", 2_000_000);
+        gate.ended(end, LogField.QUEUED.of(7), LogField.SERVICE_TIME.of(150));
 
         // then
         JsonNode line = new ObjectMapper().readTree(onlyLine());
         assertThat(line.get("hop").asText()).isEqualTo("gate");
         assertThat(line.get("reason").asText()).isEqualTo("FULL");
         assertThat(line.get("request").asText()).isEqualTo("id-1");
+        assertThat(line.get("elapsedMillis").asInt()).isEqualTo(2);
         assertThat(line.get("queued").asInt()).isEqualTo(7);
         assertThat(line.get("serviceMillis").asInt()).isEqualTo(150);
     }
@@ -68,7 +73,7 @@
         String id = "a\"b\\c\r\n\t\u0000\u001b" + "x".repeat(16 * 1024);
 
         // when
-        RequestLog.ENTRY.failed("refused", "NO_ROUTE", id, LogField.TARGET.of(id));
+        entry.ended(new RequestEnd("refused", "NO_ROUTE", id, "", 0), LogField.TARGET.of(id));
 
         // then
         String line = onlyLine();
@@ -85,8 +90,8 @@
     void should_write_few_successes_and_the_same_on_each_hop_when_many_requests_are_served() {
         // when
         for (int i = 0; i < IDS; i++) {
-            RequestLog.ENTRY.served("id-" + i);
-            RequestLog.GATE.served("id-" + i);
+            entry.ended(RequestEnd.answered("id-" + i, "items", 1));
+            gate.ended(RequestEnd.answered("id-" + i, "items", 1));
         }
 
         // then
