Entry: a node that was stopping is asked again; requests that broke with a node are forgotten

The log shows two entries refusing with NO_SERVER a service whose only node had been restarted beside its server: the node's word that it was stopping was kept until it was asked again, which that word forbade. The member's row does not change where only the node restarts. Besides, requests sent to a node that died counted as under way there for ever. Ruled out: a row for each run of a node, which costs a write at each restart and reaches entries later than an answer. Change: the word holds for 1 s, requests without an answer count until 2 s after the last one.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryDesk.java
@@ -145,7 +145,7 @@
 
     private void noteSent(Instance<EntryData> instance, long now) {
         instance.data().target().ifPresent(member -> {
-            loads.sent(member.node());
+            loads.sent(member.node(), now);
             health.saw(idOf(member), HealthEvent.SENT, now);
         });
     }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/ServerChooser.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/ServerChooser.java
@@ -61,7 +61,7 @@
     Optional<Member> best(String service, RequestKind kind, Set<String> asked, long now) {
         List<Member> open = roster.serving(service).stream()
                 .filter(member -> !asked.contains(member.node()))
-                .filter(member -> !loads.stopping(member.node()))
+                .filter(member -> !loads.stopping(member.node(), now))
                 .toList();
         List<Member> sound = open.stream().filter(parked.negate()).toList();
         Member best = null;
--- a/verbenamast-core/src/test/java/org/verbenamast/core/entry/EntryDeskTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/entry/EntryDeskTest.java
@@ -207,4 +207,45 @@
         assertThat(last()).isInstanceOfSatisfying(EntryEffect.Fail.class, fail -> assertThat(fail.id())
                 .isEqualTo(id));
     }
+
+    @Test
+    void should_ask_a_node_again_when_it_was_stopping_a_while_ago() {
+        // given
+        GateLoad stopping = new GateLoad(0, 0, 9, 50, false, true);
+        join("one");
+        long id = open(RequestKind.UNSAFE, OptionalInt.empty());
+        desk.refused(id, Refusal.STOPPING, 100, stopping, now, effects::add);
+        open(RequestKind.UNSAFE, OptionalInt.empty());
+        assertThat(nodesAsked()).hasSize(1);
+
+        // when
+        now += Timing.nanos(1_001);
+        open(RequestKind.UNSAFE, OptionalInt.empty());
+
+        // then
+        assertThat(nodesAsked()).containsExactly("one", "one");
+    }
+
+    @Test
+    void should_ask_a_node_again_when_what_it_was_sent_broke_with_it_a_while_ago() {
+        // given
+        Member broken = join("one");
+        for (int i = 0; i < 30; i++) {
+            long id = open(RequestKind.UNSAFE, OptionalInt.empty());
+            desk.broken(id, false, true, now, effects::add);
+        }
+        join("two");
+        effects.clear();
+        open(RequestKind.UNSAFE, OptionalInt.empty());
+        assertThat(nodesAsked()).containsExactly("two");
+
+        // when
+        now += Timing.nanos(2_001);
+        for (int i = 0; i < 12; i++) {
+            open(RequestKind.UNSAFE, OptionalInt.empty());
+        }
+
+        // then
+        assertThat(nodesAsked()).contains(broken.node());
+    }
 }
