--- a/verbenamast-core/src/test/java/org/verbenamast/core/entry/EntryDeskTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/entry/EntryDeskTest.java
@@ -173,4 +173,79 @@
         assertThat(effects).contains(new EntryEffect.Withdraw(id));
         assertThat(last()).isEqualTo(new EntryEffect.Fail(id, true));
     }
+
+    @Test
+    void should_promise_nothing_when_a_lookup_broke_and_no_other_server_takes_it() {
+        // given
+        join("one");
+        join("two");
+        long id = open(RequestKind.SAFE, OptionalInt.empty());
+        desk.broken(id, true, true, now, effects::add);
+
+        // when
+        desk.refused(id, Refusal.FULL, 100, IDLE, now, effects::add);
+
+        // then
+        assertThat(nodesAsked()).hasSize(2);
+        assertThat(last()).isEqualTo(new EntryEffect.Fail(id, false));
+    }
+
+    @Test
+    void should_promise_nothing_when_a_lookup_broke_and_its_key_has_no_server_any_more() {
+        // given
+        Member owner = join("one");
+        own(owner);
+        long id = open(RequestKind.SAFE, OptionalInt.of(7));
+        roster.remove(owner.node());
+
+        // when
+        desk.broken(id, true, true, now, effects::add);
+        now += Timing.nanos(1_001);
+        desk.advance(now, effects::add);
+
+        // then
+        assertThat(last()).isInstanceOfSatisfying(EntryEffect.Fail.class, fail -> assertThat(fail.id())
+                .isEqualTo(id));
+    }
+
+    @Test
+    void should_ask_a_node_again_when_it_was_stopping_a_while_ago() {
+        // given
+        GateLoad stopping = new GateLoad(0, 0, 9, 50, false, true);
+        join("one");
+        long id = open(RequestKind.UNSAFE, OptionalInt.empty());
+        desk.refused(id, Refusal.STOPPING, 100, stopping, now, effects::add);
+        open(RequestKind.UNSAFE, OptionalInt.empty());
+        assertThat(nodesAsked()).hasSize(1);
+
+        // when
+        now += Timing.nanos(1_001);
+        open(RequestKind.UNSAFE, OptionalInt.empty());
+
+        // then
+        assertThat(nodesAsked()).containsExactly("one", "one");
+    }
+
+    @Test
+    void should_ask_a_node_again_when_what_it_was_sent_broke_with_it_a_while_ago() {
+        // given
+        Member broken = join("one");
+        for (int i = 0; i < 30; i++) {
+            long id = open(RequestKind.UNSAFE, OptionalInt.empty());
+            desk.broken(id, false, true, now, effects::add);
+        }
+        join("two");
+        effects.clear();
+        open(RequestKind.UNSAFE, OptionalInt.empty());
+        assertThat(nodesAsked()).containsExactly("two");
+
+        // when
+        now += Timing.nanos(2_001);
+        for (int i = 0; i < 12; i++) {
+            open(RequestKind.UNSAFE, OptionalInt.empty());
+        }
+
+        // then
+        assertThat(nodesAsked()).contains(broken.node());
+    }
 }
