Evacuation: the first reading after a start gives no time to keys; nothing is served before that reading

The log shows a node of that zone that was killed and started 3 s after it; it read the members before the operators' rows, took that for having seen the zone in service, and served keys for 2.5 s more, which added up. Ruled out: senders that did not know (they did, and rightly left keys to their owner); a late store. Change: only an earlier reading of the operators' rows gives keys their time. Until the first one a gate refuses, so that a node that the store refuses can't serve in a zone that it does not know to be out. Figures: both new tests failed before and pass; one older test of that rule now reads the zones first, which it left out.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/Evacuation.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/Evacuation.java
@@ -8,18 +8,21 @@
     /** Time for which keys are still served, in nanoseconds; half of what the platform allows. */
     private static final long GRACE = Timing.nanos(2_500);
 
+    private boolean known;
     private boolean out;
     private long keyedUntil;
 
     /** Takes whether the zone is out; a node that has just started does not know for how long it has been. */
-    void noted(boolean nowOut, boolean sawItBefore, long now) {
+    void noted(boolean nowOut, long now) {
         if (nowOut && !out) {
-            keyedUntil = sawItBefore ? now + GRACE : now;
+            keyedUntil = known ? now + GRACE : now;
         }
+        known = true;
         out = nowOut;
     }
 
+    /** Tells whether a request must not reach the server; none may before the node has read which zones are out. */
     boolean refuses(boolean keyed, long now) {
-        return out && (!keyed || now >= keyedUntil);
+        return !known || out && (!keyed || now >= keyedUntil);
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
@@ -158,7 +158,7 @@
      * @param effects the sink of the effects
      */
     public void zonesOut(Set<Zone> out, long now, Effects effects) {
-        evacuation.noted(out.contains(self.zone()), rosterRead, now);
+        evacuation.noted(out.contains(self.zone()), now);
         roster.zonesOut().stream().filter(zone -> !out.contains(zone)).forEach(zone -> roster.evacuate(zone, false));
         out.forEach(zone -> roster.evacuate(zone, true));
         tellGate(now, effects);
--- a/verbenamast-core/src/test/java/org/verbenamast/core/relay/RelayCoreTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/relay/RelayCoreTest.java
@@ -56,6 +56,7 @@
     void should_serve_keys_a_little_longer_when_the_zone_is_taken_out() {
         // given
         core.allRows(List.of(), 3, now, NONE);
+        core.zonesOut(Set.of(), now, NONE);
 
         // when
         core.zonesOut(Set.of(ZONE), now, NONE);
@@ -75,6 +76,25 @@
         assertThat(core.evacuated(true, now)).isTrue();
     }
 
+    @Test
+    void should_serve_nothing_when_the_zone_was_out_before_the_start_and_the_members_were_read_first() {
+        // given
+        core.allRows(List.of(), 3, now, NONE);
+
+        // when
+        core.zonesOut(Set.of(ZONE), now, NONE);
+
+        // then
+        assertThat(core.evacuated(true, now)).isTrue();
+    }
+
+    @Test
+    void should_serve_nothing_when_it_is_not_known_yet_which_zones_are_out() {
+        assertThat(core.evacuated(false, now)).isTrue();
+        core.zonesOut(Set.of(), now, NONE);
+        assertThat(core.evacuated(false, now)).isFalse();
+    }
+
     @Test
     void should_serve_again_when_the_zone_is_taken_back() {
         // given
