Soak: a fault is a beginning and an end at a target

Cause: read as a newcomer, each of nine faults repeated four parameters twice, and most bodies were one call. Change: SoakTarget holds what a fault strikes and what it can do there; SoakFault names the pairs. Ruled out: a class for each fault, which is more to read for as little.

--- a/verbenamast-it/src/main/java/org/verbenamast/it/soak/SoakRun.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/soak/SoakRun.java
@@ -1,7 +1,6 @@
 package org.verbenamast.it.soak;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -142,9 +141,10 @@
         int host = random.nextInt(fleet.hosts());
         long lasts = SHORTEST_MILLIS + random.nextInt(LONGEST_MILLIS - SHORTEST_MILLIS);
         faults.add("%s host %d for %d ms".formatted(fault, host, lasts));
-        fault.begin(hosts, host, fleet.storeRoute(host), this::set);
+        SoakTarget target = new SoakTarget(hosts, host, fleet.storeRoute(host), this::set);
+        fault.begin(target);
         struckUntil = Math.max(struckUntil, now() + lasts);
-        eventloop.delay(lasts, () -> fault.end(hosts, host, fleet.storeRoute(host), this::set));
+        eventloop.delay(lasts, () -> fault.end(target));
         eventloop.delay(1 + random.nextInt(MOST_PAUSE_MILLIS), () -> strike(end));
     }
 
@@ -156,10 +156,7 @@
                     .then(answer -> answer.loadBody(MAX_BODY_BYTES))
                     .whenException(e -> faults.add("the proxy did not take %s: %s".formatted(next, e)));
         } catch (JsonProcessingException e) {
-            throw new IllegalStateException(
-                    "faults of " + new String(next.route().getBytes(StandardCharsets.UTF_8))
-                            + " should always be written",
-                    e);
+            throw new IllegalStateException("faults of " + next.route() + " should always be written", e);
         }
     }
 
