Store: a lost call that follows the operators' rows is made again before the node counts as in touch

Ruled out: a slow route table (20 routes); a store that was down (other nodes had the versions at once).

--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
@@ -36,8 +36,6 @@
 
     /** Time for a call, in milliseconds; 60 times the store's usual answer, so that a slow store still counts. */
     private static final long CALL_MILLIS = 1_000;
-    /** Time for a call that waits for changes beyond that wait, in milliseconds. */
-    private static final long WAIT_SLACK_MILLIS = 1_000;
     /** Most rows of one read; the platform's own limit. */
     private static final int PAGE = 500;
 
@@ -183,7 +181,7 @@
     private void await(FollowEffect.Await await) {
         Followed table = await.table();
         StoreMessage.Call call = StoreMessage.follow(tableOf(table), await.after(), table.waitMillis());
-        connection.send(call, table.waitMillis() + WAIT_SLACK_MILLIS).whenResult(answer -> {
+        connection.send(call, table.lostAfterMillis()).whenResult(answer -> {
             if (answer.gone()) {
                 observer.followed(table, await.ticket(), FollowEvent.HISTORY_GONE, new FollowInput(0, true));
                 return;
