Keys, roster: state that can be derived goes; ranges say what they share

Change: LeaseWatch reads the ticket from its data, KeyCapacity keeps one record, Roster takes all zones at once (its two readers had no callers left), KeyRange has ALL and overlaps. No behaviour changes. Ruled out: one class for lost owners and reports, whose times mean other things.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyCapacity.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyCapacity.java
@@ -19,14 +19,18 @@
     /** Age from which a report no longer counts, in nanoseconds; several reports may be lost. */
     private static final long REPORT_LASTS = Timing.nanos(3_000);
 
-    private final Map<ServerLife, HeatReport> reports = new HashMap<>();
-    private final Map<ServerLife, Long> reportedAt = new HashMap<>();
+    private record Told(HeatReport report, long at) {
+
+        boolean counts(long now) {
+            return now - at <= REPORT_LASTS;
+        }
+    }
+
+    private final Map<ServerLife, Told> told = new HashMap<>();
 
     void take(HeatReport report, long now) {
-        reports.put(report.life(), report);
-        reportedAt.put(report.life(), now);
-        reportedAt.values().removeIf(at -> now - at > REPORT_LASTS);
-        reports.keySet().retainAll(reportedAt.keySet());
+        told.put(report.life(), new Told(report, now));
+        told.values().removeIf(each -> !each.counts(now));
     }
 
     /** Returns the members as candidates, each with the requests that it can carry in a second. */
@@ -40,11 +44,11 @@
     }
 
     private double perSecond(Member member, long now) {
-        Long at = reportedAt.get(member.life());
-        if (at == null || now - at > REPORT_LASTS) {
+        Told last = told.get(member.life());
+        if (last == null || !last.counts(now)) {
             return COLD_PART * member.slots() * 1_000 / USUAL_SERVICE_MILLIS;
         }
-        HeatReport report = reports.get(member.life());
+        HeatReport report = last.report();
         double warm = report.slots() * 1_000.0 / report.serviceMillis();
         return report.cold() ? COLD_PART * warm : warm;
     }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyGrantBook.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyGrantBook.java
@@ -35,14 +35,10 @@
     /** Returns what the server is to hold: what it owns, but for what it has given back. */
     List<GrantedKeys> due(KeyMap map) {
         return map.grantsOf(life).stream()
-                .filter(grant -> freed.stream().noneMatch(each -> overlap(each.range(), grant.range())))
+                .filter(grant -> freed.stream().noneMatch(each -> each.range().overlaps(grant.range())))
                 .toList();
     }
 
-    private static boolean overlap(KeyRange one, KeyRange other) {
-        return one.from() <= other.to() && other.from() <= one.to();
-    }
-
     void granted(List<GrantedKeys> grants, long holdMillis, long now) {
         granted = List.copyOf(grants);
         grantedUntil = Math.max(grantedUntil, now + Timing.nanos(TenureTerms.surelyOver(holdMillis)));
@@ -69,8 +65,8 @@
 
     private boolean ownsAny(KeyMap map, KeyRange range) {
         return map.assignments().stream()
-                .anyMatch(assignment ->
-                        assignment.owner().equals(Optional.of(life)) && overlap(assignment.range(), range));
+                .anyMatch(assignment -> assignment.owner().equals(Optional.of(life))
+                        && assignment.range().overlaps(range));
     }
 
     /** Takes back from the server what it has given back or can no longer hold. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyMap.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyMap.java
@@ -40,8 +40,8 @@
      * @return the map
      */
     public static KeyMap vacant(String service) {
-        KeyRange all = new KeyRange(0, KeyRange.MAX_KEY);
-        return new KeyMap(service, 0, List.of(new KeyAssignment(all, Optional.empty(), 0, "", Optional.empty())));
+        return new KeyMap(
+                service, 0, List.of(new KeyAssignment(KeyRange.ALL, Optional.empty(), 0, "", Optional.empty())));
     }
 
     /**
@@ -139,7 +139,7 @@
      * @return the changed map
      */
     public KeyMap vacate(ServerLife owner) {
-        return release(new KeyRange(0, KeyRange.MAX_KEY), owner, "");
+        return release(KeyRange.ALL, owner, "");
     }
 
     /**
@@ -150,7 +150,7 @@
      */
     public KeyMap withoutMovesTo(Predicate<ServerLife> gone) {
         return change(
-                new KeyRange(0, KeyRange.MAX_KEY),
+                KeyRange.ALL,
                 lastEpoch,
                 assignment -> assignment.next().filter(gone).isPresent() ? assignment.staying() : assignment);
     }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyPlan.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyPlan.java
@@ -63,7 +63,7 @@
     private void weigh(KeyMap map) {
         double capacity =
                 candidates.stream().mapToDouble(KeyCandidate::capacity).sum();
-        double all = heat.of(new KeyRange(0, KeyRange.MAX_KEY));
+        double all = heat.of(KeyRange.ALL);
         for (KeyCandidate candidate : candidates) {
             part.put(candidate.life(), all * candidate.capacity() / capacity);
             load.put(candidate.life(), 0.0);
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyRange.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyRange.java
@@ -13,6 +13,9 @@
     /** The largest key. */
     public static final int MAX_KEY = 65_535;
 
+    /** All keys. */
+    public static final KeyRange ALL = new KeyRange(0, MAX_KEY);
+
     /** Checks that the range is not empty. */
     public KeyRange {
         Checks.within("from", from, 0, MAX_KEY);
@@ -39,6 +42,16 @@
         return other.from >= from && other.to <= to;
     }
 
+    /**
+     * Tells whether any key lies in this range and in another one.
+     *
+     * @param other the other range
+     * @return whether they have a key in common
+     */
+    public boolean overlaps(KeyRange other) {
+        return from <= other.to && other.from <= to;
+    }
+
     /**
      * Returns how many keys the range has.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/LeaseWatch.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/LeaseWatch.java
@@ -1,6 +1,5 @@
 package org.verbenamast.core.keys;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -26,7 +25,6 @@
 
     private final Population<ServerLife, WatchEvent, WatchData, WatchInput> watched;
     private final Map<Long, ServerLife> tickets = new HashMap<>();
-    private final Map<ServerLife, Long> ticketOf = new HashMap<>();
     private final long leaseMillis;
     private long lastTicket;
 
@@ -41,7 +39,6 @@
         if (watched.find(life) == null) {
             WatchData data = new WatchData(life, leaseMillis, ended, 0, ++lastTicket);
             tickets.put(lastTicket, life);
-            ticketOf.put(life, lastTicket);
             watched.begin(life, data, now);
             effects.emit(data.read());
         } else if (ended && !watched.find(life).data().ended()) {
@@ -51,11 +48,11 @@
 
     /** Stops watching all leases but these. */
     void retain(Set<ServerLife> suspects) {
-        List<ServerLife> dropped = new ArrayList<>(ticketOf.keySet());
-        dropped.removeAll(suspects);
-        for (ServerLife life : dropped) {
-            tickets.remove(ticketOf.remove(life));
-            watched.remove(life);
+        for (ServerLife life : List.copyOf(tickets.values())) {
+            if (!suspects.contains(life)) {
+                tickets.remove(watched.find(life).data().ticket());
+                watched.remove(life);
+            }
         }
     }
 
@@ -84,7 +81,7 @@
 
     /** Takes a lease's row that came with a conflict. */
     void seen(StoredRow lease, long now, Effects effects) {
-        for (ServerLife life : List.copyOf(ticketOf.keySet())) {
+        for (ServerLife life : List.copyOf(tickets.values())) {
             boolean same = TenureData.leaseRow(life).equals(lease.ref());
             if (same && watched.find(life).data().version() != lease.expectedVersion()) {
                 watched.fire(life, WatchEvent.RENEWED, new WatchInput(lease.expectedVersion()), now, effects);
--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
@@ -159,8 +159,7 @@
      */
     public void zonesOut(Set<Zone> out, long now, Effects effects) {
         evacuation.noted(out.contains(self.zone()), now);
-        roster.zonesOut().stream().filter(zone -> !out.contains(zone)).forEach(zone -> roster.evacuate(zone, false));
-        out.forEach(zone -> roster.evacuate(zone, true));
+        roster.zonesOut(out);
         tellGate(now, effects);
     }
 
--- a/verbenamast-core/src/main/java/org/verbenamast/core/roster/Roster.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/roster/Roster.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -15,7 +14,7 @@
 public final class Roster {
 
     private final Map<String, Member> members = new HashMap<>();
-    private final Set<Zone> evacuated = new HashSet<>();
+    private Set<Zone> evacuated = Set.of();
 
     /**
      * Takes a member's newest row.
@@ -83,35 +82,11 @@
     }
 
     /**
-     * Takes an availability zone out of service or back.
+     * Takes the availability zones that are out of service.
      *
-     * @param zone the zone
-     * @param out whether it is out
+     * @param out all of them
      */
-    public void evacuate(Zone zone, boolean out) {
-        if (out) {
-            evacuated.add(zone);
-        } else {
-            evacuated.remove(zone);
-        }
-    }
-
-    /**
-     * Tells whether an availability zone is out of service.
-     *
-     * @param zone the zone
-     * @return whether operators have taken it out
-     */
-    public boolean isOut(Zone zone) {
-        return evacuated.contains(zone);
-    }
-
-    /**
-     * Returns the zones that are out of service.
-     *
-     * @return a copy of the zones
-     */
-    public Set<Zone> zonesOut() {
-        return Set.copyOf(evacuated);
+    public void zonesOut(Set<Zone> out) {
+        evacuated = Set.copyOf(out);
     }
 }
--- a/verbenamast-core/src/test/java/org/verbenamast/core/entry/EntryDeskTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/entry/EntryDeskTest.java
@@ -55,7 +55,7 @@
     }
 
     private void own(Member member) {
-        KeyMap map = KeyMap.vacant(SERVICE).move(new KeyRange(0, KeyRange.MAX_KEY), member.life());
+        KeyMap map = KeyMap.vacant(SERVICE).move(KeyRange.ALL, member.life());
         replica.take(List.of(new StoredRow(new RowRef(RowTable.KEYS, SERVICE), 1, Optional.of(map))));
     }
 
