Test deployments: one copy of waiting for a process, of signals, and of emptying a folder

RelayFleet, Faults, SoakHosts, SoakRun and Deployment had twins of these, and two tests made a caller's request by the same header names. Change: Processes holds them; RelayFleet empties its folder and begins a caller's request. Ruled out: Workload onto the soak's event loop, since its tests block their thread while it goes on asking.

--- a/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Deployment.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Deployment.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -11,7 +10,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.verbenamast.node.ExitCode;
@@ -64,13 +62,7 @@
     private static Path emptyFolder(Path root, String name) throws IOException {
         Path target =
                 root.toAbsolutePath().normalize().resolve("verbenamast-it").resolve("target");
-        Path folder = Files.createDirectories(target.resolve("deployments").resolve(name));
-        try (Stream<Path> before = Files.list(folder)) {
-            for (Path file : before.toList()) {
-                Files.delete(file);
-            }
-        }
-        return folder;
+        return Processes.emptyFolder(target.resolve("deployments").resolve(name));
     }
 
     private void startAll() throws IOException {
--- a/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Faults.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Faults.java
@@ -1,7 +1,6 @@
 package org.verbenamast.it.deploy;
 
 import java.io.IOException;
-import java.util.concurrent.TimeUnit;
 
 import org.verbenamast.it.deploy.DeploymentPlan.HostPlan;
 import org.verbenamast.standins.platform.PlatformFaults;
@@ -32,7 +31,7 @@
      */
     public void kill(Process process) throws IOException {
         process.destroyForcibly();
-        awaitEnd(process);
+        Processes.awaitEnd(process, STOP_SECONDS);
     }
 
     /**
@@ -43,18 +42,7 @@
      */
     public void stop(Process process) throws IOException {
         process.destroy();
-        awaitEnd(process);
-    }
-
-    private static void awaitEnd(Process process) throws IOException {
-        try {
-            if (!process.waitFor(STOP_SECONDS, TimeUnit.SECONDS)) {
-                throw new IOException("process " + process.pid() + " does not end");
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new IOException("interrupted", e);
-        }
+        Processes.awaitEnd(process, STOP_SECONDS);
     }
 
     /**
@@ -64,7 +52,7 @@
      * @throws IOException where the signal can't be sent
      */
     public void freeze(Process process) throws IOException {
-        signal("-STOP", process);
+        Processes.awaitEnd(Processes.freeze(process), STOP_SECONDS);
     }
 
     /**
@@ -74,11 +62,7 @@
      * @throws IOException where the signal can't be sent
      */
     public void wake(Process process) throws IOException {
-        signal("-CONT", process);
-    }
-
-    private static void signal(String signal, Process process) throws IOException {
-        awaitEnd(new ProcessBuilder("kill", signal, Long.toString(process.pid())).start());
+        Processes.awaitEnd(Processes.wake(process), STOP_SECONDS);
     }
 
     /**
--- a/verbenamast-it/src/main/java/org/verbenamast/it/deploy/RelayFleet.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/deploy/RelayFleet.java
@@ -1,12 +1,14 @@
 package org.verbenamast.it.deploy;
 
 import java.io.IOException;
+import java.net.http.HttpRequest;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
-import java.util.concurrent.TimeUnit;
+
+import org.verbenamast.platform.RequestFields;
 
 /**
  * Relays as processes of their own, each with a stand-in for a backend server, and one stand-in for the store of rows.
@@ -19,6 +21,7 @@
     private static final int STORE_ROUTE = 6;
 
     private static final long END_SECONDS = 10;
+    private static final String DEADLINE_MILLIS = "2500";
     private static final String MANIFEST = """
             {"version": 1,
              "routes": [
@@ -50,14 +53,14 @@
      * Starts a fleet.
      *
      * @param root the root of the repository
-     * @param folder where settings and logs go
+     * @param folder where settings, logs and records go; what is there is deleted
      * @param hosts how many hosts, two at least
      * @param wiring whether the store is reached through the fault proxy, on a route for each host
      * @return the fleet; it may not be ready yet
      * @throws IOException where a process can't be started
      */
     public static RelayFleet start(Path root, Path folder, int hosts, Wiring wiring) throws IOException {
-        Files.createDirectories(folder);
+        Processes.emptyFolder(folder);
         RelayFleet fleet = new RelayFleet(root, folder, PortBlock.reserve(hosts * PORTS_PER_HOST + 2), hosts, wiring);
         Path manifest = Files.writeString(folder.resolve("manifest.json"), MANIFEST);
         fleet.others.add(fleet.programs.standin(
@@ -216,6 +219,20 @@
         return address(host, 1);
     }
 
+    /**
+     * Begins a request of a caller.
+     *
+     * @param host the host where it begins
+     * @param path the path
+     * @param id the id of the attempt
+     * @return the request
+     */
+    public HttpRequest.Builder request(int host, String path, String id) {
+        return Http.to(callers(host), path)
+                .header(RequestFields.ATTEMPT_ID, id)
+                .header(RequestFields.TIME_LEFT, DEADLINE_MILLIS);
+    }
+
     @Override
     public void close() throws IOException {
         List<Process> all = new ArrayList<>(relays);
@@ -223,19 +240,8 @@
         all.addAll(others);
         all.forEach(Process::destroyForcibly);
         for (Process process : all) {
-            awaitEnd(process);
+            Processes.awaitEnd(process, END_SECONDS);
         }
         ports.close();
     }
-
-    private static void awaitEnd(Process process) throws IOException {
-        try {
-            if (!process.waitFor(END_SECONDS, TimeUnit.SECONDS)) {
-                throw new IOException("process " + process.pid() + " does not end");
-            }
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new IOException("interrupted while process " + process.pid() + " ends", e);
-        }
-    }
 }
--- a/verbenamast-it/src/main/java/org/verbenamast/it/soak/SoakHosts.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/soak/SoakHosts.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 import java.util.Objects;
 
+import org.verbenamast.it.deploy.Processes;
 import org.verbenamast.it.deploy.RelayFleet;
 
 /** The processes of the hosts, as something outside treats them. Each host starts again what has ended. */
@@ -49,19 +50,24 @@
     /** Lets the node of a host stand still until {@link #wakeNode} was called as often. */
     void freezeNode(int host) {
         frozen[host]++;
-        signal("-STOP", fleet.relay(host));
+        signal(Processes::freeze, host);
     }
 
     void wakeNode(int host) {
         frozen[host]--;
         if (frozen[host] == 0) {
-            signal("-CONT", fleet.relay(host));
+            signal(Processes::wake, host);
         }
     }
 
-    private static void signal(String signal, Process process) {
+    /** Sends a signal to the node of a host. */
+    private interface Signal {
+        Process send(Process process) throws IOException;
+    }
+
+    private void signal(Signal signal, int host) {
         try {
-            new ProcessBuilder("kill", signal, Long.toString(process.pid())).start();
+            signal.send(fleet.relay(host));
         } catch (IOException e) {
             throw new UncheckedIOException("a signal should always be sent", e);
         }
--- a/verbenamast-it/src/main/java/org/verbenamast/it/soak/SoakRun.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/soak/SoakRun.java
@@ -1,7 +1,6 @@
 package org.verbenamast.it.soak;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -10,7 +9,6 @@
 import java.util.Objects;
 import java.util.Random;
 import java.util.function.BooleanSupplier;
-import java.util.stream.Stream;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -78,22 +76,12 @@
      */
     public static SoakReport run(SoakPlan plan, Path root, Path folder) throws IOException {
         Eventloop eventloop = Eventloop.builder().withCurrentThread().build();
-        empty(folder);
         try (RelayFleet fleet = RelayFleet.start(root, folder, plan.hosts(), Wiring.PROXIED);
                 SoakRun run = new SoakRun(plan, eventloop, fleet)) {
             return run.run();
         }
     }
 
-    private static void empty(Path folder) throws IOException {
-        Files.createDirectories(folder);
-        try (Stream<Path> files = Files.list(folder)) {
-            for (Path file : files.toList()) {
-                Files.delete(file);
-            }
-        }
-    }
-
     private SoakReport run() throws IOException {
         eventloop.keepAlive(true);
         eventloop.post(callers::start);
--- a/verbenamast-it/src/test/java/org/verbenamast/it/RelayPathTest.java
+++ b/verbenamast-it/src/test/java/org/verbenamast/it/RelayPathTest.java
@@ -73,9 +73,7 @@
     }
 
     private static HttpRequest.Builder request(int host, String path) {
-        return Http.to(fleet.callers(host), path)
-                .header("X-Verbenamast-Attempt-Id", "attempt-" + ++attempts)
-                .header("X-Verbenamast-Deadline-Ms", "2500");
+        return fleet.request(host, path, "attempt-" + ++attempts);
     }
 
     private static HttpResponse<byte[]> stock(int host, int key) throws IOException {
--- a/verbenamast-it/src/test/java/org/verbenamast/it/WhyTest.java
+++ b/verbenamast-it/src/test/java/org/verbenamast/it/WhyTest.java
@@ -23,10 +23,7 @@
     private static final Path FOLDER = Path.of("target", "why");
 
     private static HttpResponse<byte[]> book(RelayFleet fleet, String id) throws IOException {
-        return Http.send(Http.to(fleet.callers(0), "/book/slot")
-                .header("X-Verbenamast-Attempt-Id", id)
-                .header("X-Verbenamast-Deadline-Ms", "2500")
-                .POST(HttpRequest.BodyPublishers.ofString("a seat")));
+        return Http.send(fleet.request(0, "/book/slot", id).POST(HttpRequest.BodyPublishers.ofString("a seat")));
     }
 
     private static String why(String id) throws IOException {
