Node: a stopping node stops listening first and lets callers close

Cause: HttpServer.close() ends listening and closes idle kept-alive connections in one step, so that a caller's next request, already on its way on such a connection, was cut off (RestartTest, in 1 of 3 runs). Change: a PrimaryServer listens and an HttpServer keeps the connections; a stop closes the first, answers with Connection: close for up to 1 s, and closes what stayed idle.

--- a/verbenamast-node/src/main/java/org/verbenamast/node/caller/CallerFront.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/caller/CallerFront.java
@@ -1,6 +1,7 @@
 package org.verbenamast.node.caller;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
@@ -10,7 +11,9 @@
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.http.HttpServer;
+import io.activej.net.PrimaryServer;
 import io.activej.promise.Promise;
+import io.activej.promise.Promises;
 import io.activej.promise.SettablePromise;
 import io.activej.reactor.net.SocketSettings;
 import org.verbenamast.core.effect.Effect;
@@ -29,17 +32,30 @@
 import org.verbenamast.node.telemetry.NodeMetrics;
 import org.verbenamast.node.telemetry.Spans;
 
-/** Takes requests from callers over HTTP and gives them their answers. */
+/**
+ * Takes requests from callers over HTTP and gives them their answers.
+ *
+ * <p>One server listens and another one keeps the connections, so that a node that stops first refuses new connections,
+ * then tells each caller to close with its next answer, and closes only connections that stayed idle.
+ */
 public final class CallerFront implements AutoCloseable {
 
+    /** How long kept-alive connections are answered after listening ended; most callers ask again within a second. */
+    private static final Duration LINGER = Duration.ofSeconds(1);
+
+    /** How often a stopping node looks whether callers have closed their connections; a fiftieth of that time. */
+    private static final Duration LOOK_EVERY = Duration.ofMillis(20);
+
     private final MemberId self;
     private final NodeSettings settings;
     private final NodeLoop loop;
     private final Spans spans;
     private final NodeMetrics metrics;
-    private final HttpServer server;
+    private final HttpServer connections;
+    private final PrimaryServer listener;
     private final Map<RequestId, Waiting> waiting = new HashMap<>();
     private long lastSequence;
+    private boolean stopping;
 
     /**
      * Makes a front that does not listen yet.
@@ -63,7 +79,8 @@
         this.loop = Objects.requireNonNull(loop, "loop");
         this.spans = Objects.requireNonNull(spans, "spans");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
-        this.server = HttpServer.builder(eventloop, this::serve)
+        this.connections = HttpServer.builder(eventloop, this::serveAndTell).build();
+        this.listener = PrimaryServer.builder(eventloop, connections)
                 .withListenAddress(PeerLinks.socketAddress(settings.callers()))
                 .withSocketSettings(
                         SocketSettings.builder().withTcpNoDelay(true).build())
@@ -76,7 +93,11 @@
      * @throws IOException where the address can't be used
      */
     public void listen() throws IOException {
-        server.listen();
+        listener.listen();
+    }
+
+    private Promise<HttpResponse> serveAndTell(HttpRequest http) {
+        return serve(http).map(answer -> stopping ? CallerResponses.last(answer) : answer);
     }
 
     private Promise<HttpResponse> serve(HttpRequest http) {
@@ -132,17 +153,27 @@
     }
 
     /**
-     * Takes no new connections and lets the answers under way reach their callers.
+     * Takes no new connections, lets the answers under way reach their callers, and lets callers close connections.
      *
      * @return completes when no caller is left
      */
     public Promise<?> finish() {
-        return server.close();
+        stopping = true;
+        listener.close();
+        return awaitCallers(NodeLoop.now() + LINGER.toNanos()).then(connections::close);
+    }
+
+    private Promise<Void> awaitCallers(long until) {
+        if (connections.getConnectionsCount() == 0 || NodeLoop.now() >= until) {
+            return Promise.complete();
+        }
+        return Promises.delay(LOOK_EVERY).then(() -> awaitCallers(until));
     }
 
     @Override
     public void close() {
-        server.close();
+        listener.close();
+        connections.close();
     }
 
     private record Waiting(SettablePromise<HttpResponse> answer, long since) {}
--- a/verbenamast-node/src/main/java/org/verbenamast/node/caller/CallerResponses.java
+++ b/verbenamast-node/src/main/java/org/verbenamast/node/caller/CallerResponses.java
@@ -21,6 +21,14 @@
         return refused(unknown.reason().status(), "unknown", unknown.reason());
     }
 
+    /** Tells the caller with an answer to send nothing more on its connection. */
+    static HttpResponse last(HttpResponse answer) {
+        HttpResponse.Builder response =
+                HttpResponse.ofCode(answer.getCode()).withHeader(HttpHeaders.CONNECTION, "close");
+        answer.getHeaders().forEach(header -> response.withHeader(header.getKey(), header.getValue()));
+        return response.withBody(answer.takeBody()).build();
+    }
+
     private static HttpResponse answered(RequestOutcome.Answered answered) {
         HttpResponse.Builder response = HttpResponse.ofCode(answered.status());
         answered.headers().forEach(header -> response.withHeader(HttpHeaders.of(header.name()), header.value()));
