Relay: leases, epochs, repeats and dropped log lines among the metrics

Dropped lines were not counted at all. Ruled out: counting by comparing lines written with lines asked for, as the writer runs on the log library's own thread.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryDesk.java
@@ -291,6 +291,15 @@
         return Math.min(requests.nextDue(), health.nextDue());
     }
 
+    /**
+     * Tells how many requests may still be sent to a second server.
+     *
+     * @return the requests, over all services that callers have asked for
+     */
+    public long repeatsLeft() {
+        return budgets.values().stream().mapToLong(TokenBudget::left).sum();
+    }
+
     /**
      * Tells whether no request is here.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyDesk.java
@@ -308,7 +308,7 @@
     private void suspectOwners(long now, Effects effects) {
         boolean planning = plansHere();
         Set<ServerLife> watched = new HashSet<>();
-        for (ServerLife owner : owners(map())) {
+        for (ServerLife owner : map().owners()) {
             boolean suspect = endedHere.contains(owner) || planning && isLost(owner, now);
             if (suspect) {
                 watched.add(owner);
@@ -317,17 +317,11 @@
         }
         watch.retain(watched);
         suspects.retain(watchable());
-        endedHere.retainAll(owners(map()));
-    }
-
-    private static Set<ServerLife> owners(KeyMap map) {
-        Set<ServerLife> owners = new HashSet<>();
-        map.assignments().forEach(assignment -> assignment.owner().ifPresent(owners::add));
-        return owners;
+        endedHere.retainAll(map().owners());
     }
 
     private Set<ServerLife> watchable() {
-        Set<ServerLife> lives = owners(map());
+        Set<ServerLife> lives = map().owners();
         roster.members().forEach(member -> lives.add(member.life()));
         return lives;
     }
@@ -342,16 +336,16 @@
     private List<RowChange> wanted(long now) {
         StoredRow row = replica.find(mapRow());
         KeyMap before = map();
-        List<RowChange> conditions = new ArrayList<>();
+        List<RowChange> changes = new ArrayList<>();
         KeyMap after = before;
         if (book != null) {
             book.revoke(before);
             after = book.release(after, now);
         }
-        for (ServerLife owner : owners(before)) {
+        for (ServerLife owner : before.owners()) {
             Optional<RowChange> lapsed = watch.lapsed(owner);
             if (lapsed.isPresent()) {
-                conditions.add(lapsed.get());
+                changes.add(lapsed.get());
                 after = after.vacate(owner);
             }
         }
@@ -359,7 +353,6 @@
         if (after.equals(before)) {
             return List.of();
         }
-        List<RowChange> changes = new ArrayList<>(conditions);
         changes.add(0, new RowChange(mapRow(), row.expectedVersion(), Optional.of(after)));
         return changes;
     }
@@ -385,6 +378,16 @@
         return planned;
     }
 
+    /**
+     * Tells what this node may grant, for those who watch it.
+     *
+     * @param now the monotonic time, in nanoseconds
+     * @return the standing
+     */
+    public KeyStanding standing(long now) {
+        return KeyStanding.of(map(), Optional.ofNullable(book), tenure.leaseNanos(now), now);
+    }
+
     /**
      * Returns when this desk has something to do next.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyMap.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyMap.java
@@ -1,8 +1,10 @@
 package org.verbenamast.core.keys;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Predicate;
 import java.util.function.UnaryOperator;
 
@@ -64,6 +66,17 @@
         return assignments.get(low);
     }
 
+    /**
+     * Returns who owns keys.
+     *
+     * @return the runs of backend servers
+     */
+    public Set<ServerLife> owners() {
+        Set<ServerLife> owners = new HashSet<>();
+        assignments.forEach(assignment -> assignment.owner().ifPresent(owners::add));
+        return owners;
+    }
+
     /**
      * Returns what a run of a backend server is to hold: what it owns and is not to give away.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/TenureDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/TenureDesk.java
@@ -124,6 +124,16 @@
         return tenure.nextDue();
     }
 
+    /**
+     * Returns how long the lease still lasts.
+     *
+     * @param now the monotonic time, in nanoseconds
+     * @return the time, in nanoseconds; 0 where this node holds no lease
+     */
+    public long leaseNanos(long now) {
+        return instance().is(TenureTag.GRANTING) ? Math.max(0, instance().data().validUntil() - now) : 0;
+    }
+
     /**
      * Returns how long keys granted now may be held.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/TokenBudget.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/TokenBudget.java
@@ -26,6 +26,15 @@
         parts = Math.min(most, parts + earned);
     }
 
+    /**
+     * Tells how many extra tries are paid for.
+     *
+     * @return the tries
+     */
+    public long left() {
+        return parts / PARTS_PER_TOKEN;
+    }
+
     /**
      * Pays for one extra try.
      *
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
@@ -38,6 +38,7 @@
 import org.verbenamast.relay.settings.RelayNodeSettings;
 import org.verbenamast.relay.store.StoreClient;
 import org.verbenamast.relay.store.StoreObserver;
+import org.verbenamast.relay.telemetry.LogQueue;
 import org.verbenamast.relay.telemetry.MetricsPage;
 import org.verbenamast.relay.telemetry.RequestCounts;
 import sun.misc.Signal;
@@ -70,6 +71,7 @@
     private final PeerNews news;
     private final ClockWatch clocks = new ClockWatch(SUSPENSION_MILLIS);
     private long stoppingSince;
+    private long toldDropped;
 
     /**
      * Puts a node together.
@@ -149,6 +151,7 @@
                 loop.run(core::suspended);
             }
             callers.closeIdle();
+            tellDropped();
             if (stoppingSince != 0 && stoppingMillis() >= STILL_TAKING_MILLIS) {
                 callers.refuseNew();
                 loop.run(core.gate()::shut);
@@ -162,6 +165,15 @@
         });
     }
 
+    /** Says in the log how many of its lines were dropped; the line itself finds room, or is tried again. */
+    private void tellDropped() {
+        long dropped = LogQueue.droppedLines();
+        if (dropped > toldDropped) {
+            LOG.warn("{} log lines dropped since the start: the writer is too slow", dropped);
+            toldDropped = dropped;
+        }
+    }
+
     private void stop() {
         if (stoppingSince == 0) {
             LOG.info("node {} is stopping", settings.node());
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/MetricsPage.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/MetricsPage.java
@@ -17,6 +17,7 @@
 import io.prometheus.metrics.model.snapshots.MetricSnapshot;
 import io.prometheus.metrics.model.snapshots.MetricSnapshots;
 import org.verbenamast.core.admission.GateLoad;
+import org.verbenamast.core.keys.KeyStanding;
 import org.verbenamast.core.relay.RelayCore;
 import org.verbenamast.relay.RelayLoop;
 
@@ -24,6 +25,7 @@
 public final class MetricsPage {
 
     private static final String PREFIX = "verbenamast_relay_";
+    private static final double NANOS_PER_SECOND = 1e9;
 
     private final RelayCore core;
     private final RequestCounts counts;
@@ -46,7 +48,9 @@
      * @throws IOException where the writer fails
      */
     public byte[] write() throws IOException {
-        GateLoad load = core.gate().load(RelayLoop.now());
+        long now = RelayLoop.now();
+        GateLoad load = core.gate().load(now);
+        KeyStanding keys = core.keys().standing(now);
         MetricSnapshots all = MetricSnapshots.builder()
                 .metricSnapshot(requests())
                 .metricSnapshot(durations())
@@ -66,6 +70,26 @@
                         "members",
                         "Members that the node knows.",
                         core.roster().members().size()))
+                .metricSnapshot(gauge("key_ranges_owned", "Ranges of keys that the server owns.", keys.ownedRanges()))
+                .metricSnapshot(gauge(
+                        "key_ranges_moving",
+                        "Ranges of the service that move or wait for an owner.",
+                        keys.movingRanges()))
+                .metricSnapshot(gauge("key_epoch", "Highest fencing token of the service's keys.", keys.lastEpoch()))
+                .metricSnapshot(gauge(
+                        "lease_left_seconds",
+                        "Time for which the node may still grant keys.",
+                        seconds(keys.leaseNanos())))
+                .metricSnapshot(gauge(
+                        "hold_left_seconds",
+                        "Time for which the server may still hold keys that were granted.",
+                        seconds(keys.holdNanos())))
+                .metricSnapshot(gauge(
+                        "repeats_left",
+                        "Requests that may still be sent to a second server, over all services.",
+                        core.entry().repeatsLeft()))
+                .metricSnapshot(counter(
+                        "log_lines_dropped", "Log lines that the full queue has dropped.", LogQueue.droppedLines()))
                 .metricSnapshot(gauge("ready", "Whether the node can take requests.", core.ready() ? 1 : 0))
                 .build();
         ByteArrayOutputStream out = new ByteArrayOutputStream();
@@ -118,6 +142,18 @@
         return counter.build();
     }
 
+    private static double seconds(long nanos) {
+        return nanos / NANOS_PER_SECOND;
+    }
+
+    private static MetricSnapshot counter(String name, String help, long value) {
+        return CounterSnapshot.builder()
+                .name(PREFIX + name)
+                .help(help)
+                .dataPoint(CounterDataPointSnapshot.builder().value(value).build())
+                .build();
+    }
+
     private static MetricSnapshot gauge(String name, String help, double value) {
         return GaugeSnapshot.builder()
                 .name(PREFIX + name)
--- a/verbenamast-relay/src/test/java/org/verbenamast/relay/telemetry/MetricsPageTest.java
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/telemetry/MetricsPageTest.java
@@ -61,6 +61,12 @@
         assertThat(page())
                 .contains("verbenamast_relay_ready 0.0")
                 .contains("verbenamast_relay_gate_queued 0.0")
+                .contains("verbenamast_relay_key_ranges_owned 0.0")
+                .contains("verbenamast_relay_key_epoch 0.0")
+                .contains("verbenamast_relay_lease_left_seconds 0.0")
+                .contains("verbenamast_relay_hold_left_seconds 0.0")
+                .contains("verbenamast_relay_repeats_left 0.0")
+                .contains("verbenamast_relay_log_lines_dropped_total 0.0")
                 .contains("verbenamast_relay_manifest_version 0.0");
     }
 
