Timeline: who held a key, and what became of a server, from the logs alone

Cause: an engineer could follow a request by its id, but not the keys that it waited for: the nodes' logs named neither ranges nor fencing tokens, and the lines of life cycles had no fields to search by. Ruled out: writing each version of the map on every node, which is a line for each range, move and node. Change: a grant tells what a server gets and is to drop (KeyEffect.Granted and Withdrawn), the node beside it writes one line for each range, BeliefLog writes life cycles with chart and subject as fields, and ctl timeline reads them for a key or a server. Figures: none measured; one line for a range that changes hands, at its old and its new holder.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyDesk.java
@@ -120,7 +120,7 @@
         lastBeatAt = now;
         cold = beat.coldMillis() > 0;
         book.freed(beat.freed());
-        Optional<HoldGrant> grant = grant(now);
+        Optional<HoldGrant> grant = grant(now, effects);
         writer.review(now, effects);
         return grant;
     }
@@ -137,7 +137,7 @@
         tenure.serverKnown(life, now, effects);
     }
 
-    private Optional<HoldGrant> grant(long now) {
+    private Optional<HoldGrant> grant(long now, Effects effects) {
         long hold = tenure.holdMillis(now);
         if (hold < MIN_HOLD_MILLIS) {
             return Optional.empty();
@@ -145,7 +145,7 @@
         KeyMap map = map();
         book.revoke(map);
         List<GrantedKeys> grants = book.due(map);
-        book.granted(grants, hold, now);
+        book.granted(grants, hold, now, effects);
         return Optional.of(new HoldGrant(grants, hold));
     }
 
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyEffect.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyEffect.java
@@ -4,6 +4,7 @@
 
 import org.verbenamast.core.effect.Effect;
 import org.verbenamast.core.roster.Member;
+import org.verbenamast.core.roster.ServerLife;
 
 /** What the owner of keys wants done outside, besides calls to the store. */
 public sealed interface KeyEffect extends Effect.Relayed {
@@ -22,4 +23,34 @@
             Objects.requireNonNull(report, "report");
         }
     }
+
+    /**
+     * Tells those who watch the node that its server is to hold keys that it did not hold.
+     *
+     * @param life the run of the server
+     * @param keys the keys and their fencing token
+     */
+    record Granted(ServerLife life, GrantedKeys keys) implements KeyEffect {
+
+        /** Checks the fields. */
+        public Granted {
+            Objects.requireNonNull(life, "life");
+            Objects.requireNonNull(keys, "keys");
+        }
+    }
+
+    /**
+     * Tells those who watch the node that its server is to drop keys that it held.
+     *
+     * @param life the run of the server
+     * @param keys the keys and the fencing token under which they were held
+     */
+    record Withdrawn(ServerLife life, GrantedKeys keys) implements KeyEffect {
+
+        /** Checks the fields. */
+        public Withdrawn {
+            Objects.requireNonNull(life, "life");
+            Objects.requireNonNull(keys, "keys");
+        }
+    }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyGrantBook.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyGrantBook.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.verbenamast.core.effect.Effects;
 import org.verbenamast.core.node.Timing;
 import org.verbenamast.core.roster.ServerLife;
 
@@ -39,7 +40,13 @@
                 .toList();
     }
 
-    void granted(List<GrantedKeys> grants, long holdMillis, long now) {
+    void granted(List<GrantedKeys> grants, long holdMillis, long now, Effects effects) {
+        granted.stream()
+                .filter(keys -> !grants.contains(keys))
+                .forEach(keys -> effects.emit(new KeyEffect.Withdrawn(life, keys)));
+        grants.stream()
+                .filter(keys -> !granted.contains(keys))
+                .forEach(keys -> effects.emit(new KeyEffect.Granted(life, keys)));
         granted = List.copyOf(grants);
         grantedUntil = Math.max(grantedUntil, now + Timing.nanos(TenureTerms.surelyOver(holdMillis)));
     }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyRange.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyRange.java
@@ -52,6 +52,11 @@
         return from <= other.to && other.from <= to;
     }
 
+    @Override
+    public String toString() {
+        return from + "-" + to;
+    }
+
     /**
      * Returns how many keys the range has.
      *
--- a/verbenamast-ctl/src/main/java/org/verbenamast/ctl/CtlCommand.java
+++ b/verbenamast-ctl/src/main/java/org/verbenamast/ctl/CtlCommand.java
@@ -53,6 +53,11 @@
             "print the recorded decisions of all given nodes about a slice, request or change; with log files (- for"
                     + " standard input), what they tell of a request",
             session -> session.options().words.size() > 2 ? LogCommands.why(session) : FleetCommands.why(session)),
+    TIMELINE(
+            "timeline KEY|SERVER FILE...",
+            "print from log files (- for standard input) who held a key, or what became of a backend server: grants,"
+                    + " fencing tokens, leases",
+            LogCommands::timeline),
     WATCH("watch", "print the status each second for --seconds", FleetCommands::watch),
     CHARTS("charts [NAME]", "print the state charts; --format text, dot or mermaid", ChartCommands::charts),
     KEYGEN("keygen", "print a new key for an operator", FleetCommands::keygen);
--- a/verbenamast-ctl/src/main/java/org/verbenamast/ctl/LogCommands.java
+++ b/verbenamast-ctl/src/main/java/org/verbenamast/ctl/LogCommands.java
@@ -8,36 +8,69 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.function.Predicate;
 
 import io.vavr.control.Either;
 
-/** The command that tells the story of a request from the log files of any number of nodes. */
+/** The commands that tell the story of a request, a key or a server from the log files of any number of nodes. */
 final class LogCommands {
 
     /** The name that stands for standard input in place of a file. */
     private static final String STANDARD_INPUT = "-";
 
+    /** What a key looks like; anything else is the id of a server. */
+    private static final String KEY_PATTERN = "\\d{1,9}";
+
     private LogCommands() {}
 
     static Either<CtlFault, ExitCode> why(Session session) {
+        String id = session.options().words.get(1);
+        return collect(session, line -> line.isAbout(id)).flatMap(found -> tell(session, id, found));
+    }
+
+    static Either<CtlFault, ExitCode> timeline(Session session) {
         List<String> words = session.options().words;
-        String id = words.get(1);
-        List<LogLine> story = new ArrayList<>();
+        if (words.size() < 3) {
+            return Either.left(
+                    CtlFault.shouldBeReadable("the command line", "a key or a server and a file are needed"));
+        }
+        String subject = words.get(1);
+        Predicate<LogLine> wanted = subject.matches(KEY_PATTERN)
+                ? line -> line.isAboutKey(Integer.parseInt(subject))
+                : line -> line.isAboutServer(subject);
+        return collect(session, wanted).flatMap(found -> tellTimes(session, subject, found));
+    }
+
+    /**
+     * The lines that were asked for.
+     *
+     * @param lines the lines, in order of time
+     * @param unreadable how many lines could not be read
+     */
+    private record Found(List<LogLine> lines, int unreadable) {
+
+        String skipped() {
+            return unreadable == 0 ? "" : "; %d lines were unreadable".formatted(unreadable);
+        }
+    }
+
+    private static Either<CtlFault, Found> collect(Session session, Predicate<LogLine> wanted) {
+        List<String> words = session.options().words;
+        List<LogLine> lines = new ArrayList<>();
         int unreadable = 0;
         for (String name : words.subList(2, words.size())) {
-            Either<CtlFault, List<String>> lines = read(name);
-            if (lines.isLeft()) {
-                return Either.left(lines.getLeft());
+            Either<CtlFault, List<String>> texts = read(name);
+            if (texts.isLeft()) {
+                return Either.left(texts.getLeft());
             }
-            for (String line : lines.get()) {
-                Either<CtlFault, LogLine> parsed = LogLine.parse(line);
+            for (String text : texts.get()) {
+                Either<CtlFault, LogLine> parsed = LogLine.parse(text);
                 unreadable += parsed.isLeft() ? 1 : 0;
-                if (parsed.isRight() && parsed.get().isAbout(id)) {
-                    story.add(parsed.get());
-                }
+                parsed.filter(wanted::test).forEach(line -> line.forEach(lines::add));
             }
         }
-        return tell(session, id, story, unreadable);
+        lines.sort(Comparator.comparing(LogLine::time));
+        return Either.right(new Found(lines, unreadable));
     }
 
     private static Either<CtlFault, List<String>> read(String name) {
@@ -60,26 +93,41 @@
                 .toList();
     }
 
-    private static Either<CtlFault, ExitCode> tell(Session session, String id, List<LogLine> story, int unreadable) {
-        String skipped = unreadable == 0 ? "" : "; %d lines were unreadable".formatted(unreadable);
-        if (story.isEmpty()) {
+    private static Either<CtlFault, ExitCode> tell(Session session, String id, Found found) {
+        if (found.lines().isEmpty()) {
             return Either.left(CtlFault.shouldExist(
                     "a line about request <%s> (a success may not be in the sample, or a node's log is missing)%s"
-                            .formatted(id, skipped)));
+                            .formatted(id, found.skipped())));
         }
-        story.sort(Comparator.comparing(LogLine::time));
-        session.printer()
-                .print(
-                        story,
-                        List.of("TIME", "HOP", "OUTCOME", "REASON", "INPUTS"),
-                        story.stream().map(LogLine::cells).toList());
+        print(
+                session,
+                found,
+                List.of("TIME", "HOP", "OUTCOME", "REASON", "INPUTS"),
+                found.lines().stream().map(LogLine::cells).toList());
         if (!session.printer().json()
-                && story.stream().noneMatch(line -> line.hop().equals("entry"))) {
+                && found.lines().stream().noneMatch(line -> line.hop().equals("entry"))) {
             session.printer().out().println("no line of the node that took the request: its log is missing");
         }
-        if (!session.printer().json() && unreadable > 0) {
-            session.printer().out().println(unreadable + " lines were unreadable and are left out");
+        return Either.right(ExitCode.OK);
+    }
+
+    private static Either<CtlFault, ExitCode> tellTimes(Session session, String subject, Found found) {
+        if (found.lines().isEmpty()) {
+            return Either.left(CtlFault.shouldExist("a line about key or server <%s> (a node's log may be missing)%s"
+                    .formatted(subject, found.skipped())));
         }
+        print(
+                session,
+                found,
+                List.of("TIME", "WHAT", "INPUTS"),
+                found.lines().stream().map(LogLine::moment).toList());
         return Either.right(ExitCode.OK);
     }
+
+    private static void print(Session session, Found found, List<String> titles, List<List<String>> rows) {
+        session.printer().print(found.lines(), titles, rows);
+        if (!session.printer().json() && found.unreadable() > 0) {
+            session.printer().out().println(found.unreadable() + " lines were unreadable and are left out");
+        }
+    }
 }
--- a/verbenamast-ctl/src/test/java/org/verbenamast/ctl/LogCommandsTest.java
+++ b/verbenamast-ctl/src/test/java/org/verbenamast/ctl/LogCommandsTest.java
@@ -30,10 +30,18 @@
     }
 
     private static String why(String... words) {
+        return run("why", words);
+    }
+
+    private static String timeline(String... words) {
+        return run("timeline", words);
+    }
+
+    private static String run(String command, String... words) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         PrintStream out = new PrintStream(bytes, true, StandardCharsets.UTF_8);
         CtlMain program = new CtlMain(out, out, () -> null, () -> "", () -> "");
-        List<String> line = new ArrayList<>(List.of("why"));
+        List<String> line = new ArrayList<>(List.of(command));
         line.addAll(List.of(words));
         ExitCode code = program.run(line.toArray(String[]::new));
         return bytes.toString(StandardCharsets.UTF_8) + "exit " + code.code() + "\n";
@@ -84,4 +92,49 @@
                 .contains("none.log should be readable")
                 .endsWith("exit 2\n");
     }
+
+    private static String grant(int second, String what, String server, String keys, int epoch) {
+        String line = "{\"@timestamp\":\"2026-12-04T09:00:0%dZ\",\"message\":\"keys %s\","
+                + "\"server\":\"%s\",\"keys\":\"%s\",\"epoch\":%d}\n";
+        return line.formatted(second, what, server, keys, epoch);
+    }
+
+    @Test
+    void should_print_the_owners_of_a_key_in_order_of_time_when_it_moved() throws IOException {
+        String first = file(
+                "one.log",
+                grant(1, "granted", "i-1@5", "0-511", 3)
+                        + grant(4, "withdrawn", "i-1@5", "0-511", 3)
+                        + grant(1, "granted", "i-1@5", "512-700", 4));
+        String second = file("two.log", grant(6, "granted", "i-2@5", "0-511", 9) + GATE);
+
+        assertThat(timeline("8", first, second)).isEqualTo("""
+                        TIME                  WHAT            INPUTS
+                        2026-12-04T09:00:01Z  keys granted    server=i-1@5 keys=0-511 epoch=3
+                        2026-12-04T09:00:04Z  keys withdrawn  server=i-1@5 keys=0-511 epoch=3
+                        2026-12-04T09:00:06Z  keys granted    server=i-2@5 keys=0-511 epoch=9
+                        exit 0
+                        """);
+    }
+
+    @Test
+    void should_print_grants_and_leases_of_a_server_when_it_is_asked_for_by_its_id() throws IOException {
+        String lease =
+                "{\"@timestamp\":\"2026-12-04T09:00:02Z\",\"message\":\"lease-watch i-1@5: WATCHING -> LAPSED on DUE\","
+                        + "\"chart\":\"lease-watch\",\"subject\":\"i-1@5\"}\n";
+        String log = file(
+                "one.log", lease + grant(1, "granted", "i-1@5", "0-511", 3) + grant(1, "granted", "i-12@5", "5-6", 4));
+
+        assertThat(timeline("i-1", log))
+                .containsSubsequence("keys granted", "keys=0-511", "LAPSED", "chart=lease-watch")
+                .doesNotContain("i-12");
+    }
+
+    @Test
+    void should_refuse_when_no_line_is_about_the_key_or_no_file_is_named() throws IOException {
+        assertThat(timeline("9000", file("one.log", grant(1, "granted", "i-1@5", "0-511", 3) + "{\"keys\":\"x-y\"}\n")))
+                .contains("a line about key or server <9000>")
+                .endsWith("exit 1\n");
+        assertThat(timeline("9000")).contains("a key or a server and a file are needed");
+    }
 }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
@@ -11,7 +11,6 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.verbenamast.core.admission.GateEffect;
-import org.verbenamast.core.chart.Transition;
 import org.verbenamast.core.effect.Effect;
 import org.verbenamast.core.entry.EntryEffect;
 import org.verbenamast.core.keys.KeyEffect;
@@ -38,6 +37,7 @@
 import org.verbenamast.relay.settings.RelayNodeSettings;
 import org.verbenamast.relay.store.StoreClient;
 import org.verbenamast.relay.store.StoreObserver;
+import org.verbenamast.relay.telemetry.BeliefLog;
 import org.verbenamast.relay.telemetry.LogQueue;
 import org.verbenamast.relay.telemetry.MetricsPage;
 import org.verbenamast.relay.telemetry.RequestCounts;
@@ -85,7 +85,7 @@
                 .withTimeProvider(() -> System.nanoTime() / Timing.NANOS_PER_MILLI)
                 .withFatalErrorHandler((e, context) -> LOG.error("a fault in this program; the node goes on", e))
                 .build();
-        this.core = new RelayCore(coreSettings(settings), RelayProcess::logTransition);
+        this.core = new RelayCore(coreSettings(settings), BeliefLog::transition);
         this.loop = new RelayLoop(eventloop, core, this::run);
         this.store = new StoreClient(eventloop, settings.store(), this);
         this.peers = new PeerPool(eventloop);
@@ -110,22 +110,6 @@
                 () -> ThreadLocalRandom.current().nextDouble());
     }
 
-    /** Logs changes of what the node believes; those of single requests are logged with their inputs elsewhere. */
-    private static void logTransition(
-            String chart, Object subject, Enum<?> event, Transition<?, ?> transition, long now) {
-        boolean request = chart.endsWith("-request");
-        boolean same = transition.to() == null || transition.to() == transition.from();
-        if (!request && !same) {
-            LOG.info(
-                    "{} {}: {} -> {} on {}",
-                    chart,
-                    subject,
-                    transition.from().name(),
-                    transition.to().name(),
-                    event);
-        }
-    }
-
     /**
      * Runs until the process is told to stop.
      *
@@ -205,6 +189,10 @@
             store.run(follow);
         } else if (effect instanceof KeyEffect.TellHeat tell) {
             news.send(tell);
+        } else if (effect instanceof KeyEffect.Granted granted) {
+            BeliefLog.granted(granted);
+        } else if (effect instanceof KeyEffect.Withdrawn withdrawn) {
+            BeliefLog.withdrawn(withdrawn);
         } else if (effect instanceof SpreadRows spread) {
             news.send(spread, core.roster().members(), settings.peers());
         } else {
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/LogField.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/LogField.java
@@ -40,7 +40,15 @@
     /** The service time that the gate reckons with, in milliseconds. */
     SERVICE_TIME("serviceMillis"),
     /** What the caller asked for, where no route is known. */
-    TARGET("target");
+    TARGET("target"),
+    /** The first and the last key of a range. */
+    KEYS("keys"),
+    /** The fencing token of a range. */
+    EPOCH("epoch"),
+    /** The chart of what went on to another state. */
+    CHART("chart"),
+    /** What the chart is about: a run of a server, a table, a service. */
+    SUBJECT("subject");
 
     /** Characters of a value beyond which it is cut; ids and targets come from outside and may be long. */
     private static final int MOST_CHARACTERS = 200;
