Relay: settings that change while a node runs

Cause: settings were read at the start only, so that a changed grace or drain time did not hold until the next start, and a signal HUP did nothing; longestHoldMillis was read and never used. Ruled out: taking new addresses while running, which would cut off what goes over the old ones; bounding the hold in the terms, as a node that has just started reckons by them for how long grants of its earlier run may last. Change: SettingsWatch looks at the file each second and at HUP, keeps what is in force where the file has faults, and tells which part waits for the next start. Holds are bounded by longestHoldMillis.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyDesk.java
@@ -9,6 +9,7 @@
 import java.util.function.Predicate;
 
 import org.verbenamast.core.chart.TransitionListener;
+import org.verbenamast.core.check.Checks;
 import org.verbenamast.core.effect.Effects;
 import org.verbenamast.core.node.Timing;
 import org.verbenamast.core.roster.Heartbeat;
@@ -37,8 +38,6 @@
     private static final long BALANCE_EVERY = Timing.nanos(1_000);
     /** Calm after a member has joined before keys are dealt for the first time, in nanoseconds. */
     private static final long FIRST_DEAL_CALM = Timing.nanos(1_500);
-    /** Time for which a member is unreachable before its lease is watched, in nanoseconds. */
-    private static final long SUSPECT_AFTER = Timing.nanos(1_500);
     /** Shortest hold that is granted, in milliseconds; a shorter one would end before the next heartbeat. */
     private static final long MIN_HOLD_MILLIS = 300;
 
@@ -48,9 +47,8 @@
     private final String node;
     private final String service;
     private final TenureTerms terms;
-    private final Roster roster;
+    private final KeyHosts hosts;
     private final RowReplica replica;
-    private final Predicate<Member> reachable;
     private final TenureDesk tenure;
     private final RowWriter writer;
     private final LeaseWatch watch;
@@ -58,7 +56,6 @@
     private final KeyCapacity capacity = new KeyCapacity();
     private final List<Integer> seenKeys = new ArrayList<>();
     private final Set<ServerLife> endedHere = new HashSet<>();
-    private final SuspectTimes suspects = new SuspectTimes();
     private final long startedAt;
     private KeyGrantBook book;
     private Heartbeat lastBeat;
@@ -68,6 +65,7 @@
     private long nextBalance;
     private long calmSince;
     private int knownMembers;
+    private long longestHoldMillis = Long.MAX_VALUE;
 
     /**
      * Makes the desk of a node that has just started.
@@ -88,14 +86,23 @@
         this.service = self.service();
         this.terms = self.terms();
         this.startedAt = self.startedAt();
-        this.roster = Objects.requireNonNull(roster, "roster");
+        this.hosts = new KeyHosts(node, service, roster, reachable);
         this.replica = Objects.requireNonNull(replica, "replica");
-        this.reachable = Objects.requireNonNull(reachable, "reachable");
         this.tenure = new TenureDesk(terms, service, self.run(), listener);
         this.writer = new RowWriter(StorePurpose.KEY_MAP, replica, this::wanted, listener);
         this.watch = new LeaseWatch(terms.leaseMillis(), listener);
     }
 
+    /**
+     * Bounds the holds that are granted from now on. What an earlier run of this node may have granted is reckoned by
+     * the terms, whose hold no bound exceeds.
+     *
+     * @param millis the longest time for which a server may hold keys, in milliseconds
+     */
+    public void holdAtMost(long millis) {
+        longestHoldMillis = Checks.positive("millis", millis);
+    }
+
     private RowRef mapRow() {
         return new RowRef(RowTable.KEYS, service);
     }
@@ -138,7 +145,7 @@
     }
 
     private Optional<HoldGrant> grant(long now, Effects effects) {
-        long hold = tenure.holdMillis(now);
+        long hold = Math.min(tenure.holdMillis(now), longestHoldMillis);
         if (hold < MIN_HOLD_MILLIS) {
             return Optional.empty();
         }
@@ -277,61 +284,36 @@
         HeatReport report = new HeatReport(
                 service, book.life(), lastBeat.slots(), Math.max(1, serviceMillis), cold, List.copyOf(seenKeys));
         seenKeys.clear();
-        planner()
+        hosts.planner()
                 .filter(member -> !member.node().equals(node))
                 .ifPresentOrElse(
                         member -> effects.emit(new KeyEffect.TellHeat(member, report)), () -> heat(report, now));
     }
 
     private void noteMembers(long now) {
-        int members = roster.serving(service).size();
+        int members = hosts.serving().size();
         if (members != knownMembers) {
             knownMembers = members;
             calmSince = now;
         }
     }
 
-    private Optional<Member> planner() {
-        return roster.serving(service).stream().filter(this::isHere).min((one, other) -> one.node()
-                .compareTo(other.node()));
-    }
-
-    private boolean isHere(Member member) {
-        return member.node().equals(node) || reachable.test(member);
-    }
-
-    private boolean plansHere() {
-        return planner().filter(member -> member.node().equals(node)).isPresent();
-    }
-
     /** Watches the leases of owners that are not there any more or that this node does not reach. */
     private void suspectOwners(long now, Effects effects) {
-        boolean planning = plansHere();
+        boolean planning = hosts.plansHere();
         Set<ServerLife> watched = new HashSet<>();
         for (ServerLife owner : map().owners()) {
-            boolean suspect = endedHere.contains(owner) || planning && isLost(owner, now);
+            boolean suspect = endedHere.contains(owner) || planning && hosts.isLost(owner, now);
             if (suspect) {
                 watched.add(owner);
                 watch.watch(owner, endedHere.contains(owner), now, effects);
             }
         }
         watch.retain(watched);
-        suspects.retain(watchable());
+        hosts.forgetAllBut(map());
         endedHere.retainAll(map().owners());
     }
 
-    private Set<ServerLife> watchable() {
-        Set<ServerLife> lives = map().owners();
-        roster.members().forEach(member -> lives.add(member.life()));
-        return lives;
-    }
-
-    private boolean isLost(ServerLife owner, long now) {
-        Optional<Member> host = roster.hostOf(owner);
-        boolean here = host.filter(this::isHere).isPresent();
-        return suspects.lostFor(owner, here, now) >= SUSPECT_AFTER;
-    }
-
     /** Returns the changes that make the map as it should be, or none. */
     private List<RowChange> wanted(long now) {
         StoredRow row = replica.find(mapRow());
@@ -360,12 +342,10 @@
     private KeyMap planned(KeyMap map, long now) {
         noteMembers(now);
         boolean first = map.lastEpoch() == 0;
-        if (!plansHere() || first && now - calmSince < FIRST_DEAL_CALM) {
+        if (!hosts.plansHere() || first && now - calmSince < FIRST_DEAL_CALM) {
             return map;
         }
-        List<Member> serving = roster.serving(service).stream()
-                .filter(member -> !isLost(member.life(), now))
-                .toList();
+        List<Member> serving = hosts.present(now);
         Set<ServerLife> lives = new HashSet<>();
         serving.forEach(member -> lives.add(member.life()));
         KeyMap kept = serving.isEmpty() ? map : map.withoutMovesTo(life -> !lives.contains(life));
--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
@@ -8,7 +8,6 @@
 
 import org.verbenamast.core.admission.GateDesk;
 import org.verbenamast.core.admission.GateRules;
-import org.verbenamast.core.admission.ServerStanding;
 import org.verbenamast.core.backend.BackendDesk;
 import org.verbenamast.core.chart.TransitionListener;
 import org.verbenamast.core.effect.Effects;
@@ -44,13 +43,12 @@
 
     /** Time between reports of busy keys, in nanoseconds; a small part of the seconds for which keys stay hot. */
     private static final long REPORT_EVERY = Timing.nanos(500);
-    /** Time by which a leaving server gets its last request before it may refuse, in nanoseconds. */
-    private static final long DRAIN_MARGIN = Timing.nanos(200);
 
     private final RelaySettings self;
     private final Roster roster = new Roster();
     private final RowReplica replica;
     private final BackendDesk backend;
+    private final Standings standings;
     private final EntryDesk entry;
     private final GateDesk gate;
     private final KeyDesk keys;
@@ -72,6 +70,7 @@
         this.replica = new RowReplica(this::rowChanged);
         this.follow = new FollowDesk(listener);
         this.backend = new BackendDesk(listener);
+        this.standings = new Standings(backend, self.drainMillis());
         this.entry = new EntryDesk(self.zone(), roster, replica, self.random(), listener);
         this.gate = new GateDesk(this, listener);
         KeyDeskSettings keyed =
@@ -100,6 +99,20 @@
         keys.suspended(now, effects);
     }
 
+    /**
+     * Takes times that have changed while the node runs.
+     *
+     * @param drain how long a server that leaves may still get requests, in milliseconds
+     * @param longestHold the longest time for which a server may hold keys, in milliseconds
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void times(long drain, long longestHold, long now, Effects effects) {
+        standings.drainFor(drain);
+        keys.holdAtMost(longestHold);
+        tellGate(now, effects);
+    }
+
     private void rowChanged(StoredRow row) {
         if (row.ref().table() != RowTable.MEMBERS) {
             return;
@@ -247,17 +260,7 @@
     }
 
     private void tellGate(long now, Effects effects) {
-        Optional<Heartbeat> last = backend.last();
-        if (last.isEmpty() || backend.state() == ServerState.LEFT) {
-            gate.server(Optional.empty(), now, effects);
-            return;
-        }
-        double coldPerSecond = rules().map(ServiceRules::coldPerSecond).orElse(0.0);
-        long leaving = backend.leavingSince();
-        long keyedUntil = leaving == 0 ? 0 : leaving + Timing.nanos(self.drainMillis()) - DRAIN_MARGIN;
-        ServerStanding standing = new ServerStanding(
-                last.get().life(), self.service(), last.get().slots(), backend.coldUntil(), coldPerSecond, keyedUntil);
-        gate.server(Optional.of(standing), now, effects);
+        gate.server(standings.present(rules()), now, effects);
     }
 
     /**
--- a/verbenamast-core/src/test/java/org/verbenamast/core/keys/KeyDeskTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/keys/KeyDeskTest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
 import org.verbenamast.core.chart.TransitionListener;
@@ -17,6 +18,8 @@
 import org.verbenamast.core.rows.RowReplica;
 import org.verbenamast.core.rows.StoreEffect;
 import org.verbenamast.core.rows.StorePurpose;
+import org.verbenamast.core.rows.StoreResult;
+import org.verbenamast.core.rows.StoredRow;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -76,4 +79,48 @@
         assertThat(map.isOwner(member("node-a").life())).isTrue();
         assertThat(map.isOwner(member("node-b").life())).isTrue();
     }
+
+    private static Heartbeat beat(long sequence) {
+        return new Heartbeat(
+                member("node-a").life(),
+                SERVICE,
+                "127.0.0.1:1",
+                9,
+                ServerState.READY,
+                0,
+                sequence,
+                List.of(),
+                List.of());
+    }
+
+    /** Answers the calls that the lease needs until the desk makes none any more. */
+    private void answerLeaseCalls(long now) {
+        for (int i = 0; i < effects.size(); i++) {
+            if (effects.get(i) instanceof StoreEffect.Commit commit && commit.purpose() == StorePurpose.TENURE) {
+                desk.stored(commit.purpose(), commit.ticket(), new StoreResult.Committed(5), now, effects::add);
+            } else if (effects.get(i) instanceof StoreEffect.Read read && read.purpose() == StorePurpose.TENURE) {
+                List<StoredRow> rows = read.refs().stream()
+                        .map(ref -> new StoredRow(ref, 0, Optional.empty()))
+                        .toList();
+                desk.stored(read.purpose(), read.ticket(), new StoreResult.Read(rows), now, effects::add);
+            }
+        }
+    }
+
+    @Test
+    void should_grant_no_longer_than_the_bound_when_it_is_below_the_usual_hold() {
+        // given
+        long now = Timing.nanos(20_000);
+        desk.heartbeat(beat(1), now, effects::add);
+        answerLeaseCalls(now);
+        assertThat(desk.heartbeat(beat(2), now, effects::add)).get().satisfies(grant -> assertThat(grant.holdMillis())
+                .isEqualTo(TenureTerms.DEFAULT.holdMillis()));
+
+        // when
+        desk.holdAtMost(1_200);
+
+        // then
+        assertThat(desk.heartbeat(beat(3), now, effects::add)).get().satisfies(grant -> assertThat(grant.holdMillis())
+                .isEqualTo(1_200));
+    }
 }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayMain.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayMain.java
@@ -11,6 +11,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.verbenamast.relay.settings.RelayNodeSettings;
+import org.verbenamast.relay.settings.SettingsWatch;
 import org.verbenamast.wire.settings.SettingsFault;
 import org.verbenamast.wire.settings.SettingsFile;
 
@@ -70,12 +71,12 @@
             out.println(file + ": no faults");
             return ExitCode.OK;
         }
-        return serve(settings.get());
+        return serve(new SettingsWatch(Path.of(file), settings.get()), settings.get());
     }
 
-    private static ExitCode serve(RelayNodeSettings settings) {
+    private static ExitCode serve(SettingsWatch watch, RelayNodeSettings settings) {
         Logger log = LoggerFactory.getLogger(RelayMain.class);
-        try (RelayProcess process = new RelayProcess(settings)) {
+        try (RelayProcess process = new RelayProcess(settings, watch)) {
             process.run();
             return ExitCode.OK;
         } catch (Exception e) {
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
@@ -35,6 +35,7 @@
 import org.verbenamast.relay.peer.PeerNews;
 import org.verbenamast.relay.peer.PeerPool;
 import org.verbenamast.relay.settings.RelayNodeSettings;
+import org.verbenamast.relay.settings.SettingsWatch;
 import org.verbenamast.relay.store.StoreClient;
 import org.verbenamast.relay.store.StoreObserver;
 import org.verbenamast.relay.telemetry.BeliefLog;
@@ -50,6 +51,8 @@
 
     /** Time between looks at the clocks and at idle connections, in milliseconds. */
     private static final long HOUSEKEEPING_MILLIS = 100;
+    /** Time between looks at the settings file, in milliseconds; changes are to be in force within 3 s. */
+    private static final long LOOK_MILLIS = 1_000;
     /** Difference between the clocks that may be a suspension of the host, in milliseconds. */
     private static final long SUSPENSION_MILLIS = 200;
     /** Time before the end of the grace period at which the process ends in any case, in milliseconds. */
@@ -57,7 +60,8 @@
     /** Time for which a stopping node still takes requests, in milliseconds; callers learn of it within two seconds. */
     private static final long STILL_TAKING_MILLIS = 2_600;
 
-    private final RelayNodeSettings settings;
+    private final SettingsWatch watch;
+    private RelayNodeSettings settings;
     private final Eventloop eventloop;
     private final RelayCore core;
     private final RelayLoop loop;
@@ -71,14 +75,17 @@
     private final PeerNews news;
     private final ClockWatch clocks = new ClockWatch(SUSPENSION_MILLIS);
     private long stoppingSince;
+    private long nextLook;
     private long toldDropped;
 
     /**
      * Puts a node together.
      *
      * @param settings the settings
+     * @param watch tells when they change
      */
-    public RelayProcess(RelayNodeSettings settings) {
+    public RelayProcess(RelayNodeSettings settings, SettingsWatch watch) {
+        this.watch = Objects.requireNonNull(watch, "watch");
         this.settings = Objects.requireNonNull(settings, "settings");
         this.eventloop = Eventloop.builder()
                 .withCurrentThread()
@@ -120,9 +127,12 @@
         gate.listen();
         front.listen();
         Signal.handle(new Signal("TERM"), signal -> eventloop.execute(this::stop));
-        Signal.handle(new Signal("HUP"), signal -> LOG.info("signal HUP: settings are read at the start only"));
+        Signal.handle(
+                new Signal("HUP"),
+                signal -> eventloop.execute(() -> watch.read().ifPresent(this::changed)));
         LOG.info("node {} of {} started, callers at {}", settings.node(), settings.zone(), settings.callers());
         eventloop.keepAlive(true);
+        changed(settings);
         eventloop.post(() -> loop.run(core::start));
         housekeep();
         eventloop.run();
@@ -136,6 +146,7 @@
             }
             callers.closeIdle();
             tellDropped();
+            lookAtSettings();
             if (stoppingSince != 0 && stoppingMillis() >= STILL_TAKING_MILLIS) {
                 callers.refuseNew();
                 loop.run(core.gate()::shut);
@@ -158,6 +169,18 @@
         }
     }
 
+    private void lookAtSettings() {
+        if (RelayLoop.now() >= nextLook) {
+            nextLook = RelayLoop.now() + Timing.nanos(LOOK_MILLIS);
+            watch.look().ifPresent(this::changed);
+        }
+    }
+
+    private void changed(RelayNodeSettings next) {
+        settings = next;
+        loop.run((now, effects) -> core.times(next.drainMillis(), next.longestHoldMillis(), now, effects));
+    }
+
     private void stop() {
         if (stoppingSince == 0) {
             LOG.info("node {} is stopping", settings.node());
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/settings/RelayNodeSettings.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/settings/RelayNodeSettings.java
@@ -63,6 +63,29 @@
         Checks.positive("longestHoldMillis", longestHoldMillis);
     }
 
+    /**
+     * Returns these settings with the times of others; who the node is and where it listens stays.
+     *
+     * @param other the settings to take the times from
+     * @return the settings
+     */
+    public RelayNodeSettings withTimesOf(RelayNodeSettings other) {
+        return new RelayNodeSettings(
+                node,
+                zone,
+                service,
+                server,
+                callers,
+                ready,
+                heartbeats,
+                peers,
+                metrics,
+                store,
+                other.drainMillis,
+                other.graceSeconds,
+                other.longestHoldMillis);
+    }
+
     /**
      * Reads the settings; faults are noted at the file.
      *
