Tests: the workload of process tests lives on one event loop

Cause: check/Workload asked by a scheduled executor and kept its state in concurrent collections; the shape, one loop on one thread, holds for the tests' tools too. Ruled out: asking on the test's own thread, as it is blocked while processes are stopped and started. Change: all state of the callers belongs to an event loop that runs beside the test's thread; the HTTP client hands its answers to it.

--- a/verbenamast-it/src/main/java/org/verbenamast/it/check/Workload.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/check/Workload.java
@@ -6,26 +6,31 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Queue;
 import java.util.Random;
-import java.util.concurrent.ConcurrentLinkedQueue;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 
+import io.activej.async.callback.AsyncComputation;
+import io.activej.eventloop.Eventloop;
+import org.verbenamast.it.deploy.Deployment;
 import org.verbenamast.it.deploy.DeploymentPlan;
 import org.verbenamast.it.deploy.DeploymentPlan.HostPlan;
 import org.verbenamast.it.deploy.Http;
 import org.verbenamast.it.deploy.Plans;
 
-/** Callers of the keyed service: they ask at a fixed rate until the workload is closed, and keep what they got. */
+/**
+ * Callers of the keyed service: they ask at a fixed rate until the workload is closed, and keep what they got. All of
+ * their state belongs to one event loop, which runs beside the thread of the test.
+ */
 public final class Workload implements AutoCloseable {
 
     private static final long MICROS_PER_SECOND = 1_000_000;
     private static final long NANOS_PER_MICRO = 1_000;
     private static final long PATIENCE_MILLIS = 20_000;
+    /** Time between looks at what is due, in milliseconds; a part of the time between two requests at usual rates. */
+    private static final long LOOK_MILLIS = 2;
+
     private static final int KEYS = 500;
     private static final int MAX_BYTES = 4_096;
     private static final int ORDERS_ONE_IN = 4;
@@ -37,11 +42,16 @@
             .version(HttpClient.Version.HTTP_1_1)
             .connectTimeout(Duration.ofSeconds(1))
             .build();
-    private final Queue<Ask> asks = new ConcurrentLinkedQueue<>();
-    private final AtomicLong sent = new AtomicLong();
-    private final ScheduledExecutorService clock = Executors.newSingleThreadScheduledExecutor();
-
-    private Workload(DeploymentPlan plan, long seed) {
+    private final Eventloop loop = Eventloop.create();
+    private final Thread thread = new Thread(loop, "callers");
+    private final List<Ask> asks = new ArrayList<>();
+    private final long everyMicros;
+    private long dueMicros;
+    private int sent;
+    private boolean stopped;
+
+    private Workload(DeploymentPlan plan, int rate, long seed) {
+        this.everyMicros = MICROS_PER_SECOND / rate;
         this.hosts = plan.hosts();
         this.random = new Random(seed);
     }
@@ -55,16 +65,33 @@
      * @return the workload, which is to be closed
      */
     public static Workload start(DeploymentPlan plan, int rate, long seed) {
-        Workload workload = new Workload(plan, seed);
-        workload.clock.scheduleAtFixedRate(workload::ask, 0, MICROS_PER_SECOND / rate, TimeUnit.MICROSECONDS);
+        Workload workload = new Workload(plan, rate, seed);
+        workload.loop.keepAlive(true);
+        workload.loop.execute(workload::begin);
+        workload.thread.start();
         return workload;
     }
 
+    private void begin() {
+        dueMicros = micros();
+        askWhatIsDue();
+    }
+
+    private void askWhatIsDue() {
+        if (stopped) {
+            return;
+        }
+        for (; dueMicros <= micros(); dueMicros += everyMicros) {
+            ask();
+        }
+        loop.delay(LOOK_MILLIS, this::askWhatIsDue);
+    }
+
     private void ask() {
         String key = "key-" + random.nextInt(KEYS);
         boolean order = random.nextInt(ORDERS_ONE_IN) == 0;
         int bytes = order ? 0 : 1 + random.nextInt(MAX_BYTES);
-        Question question = new Question(key, order ? "POST" : "GET", bytes, "ask-" + sent.incrementAndGet());
+        Question question = new Question(key, order ? "POST" : "GET", bytes, "ask-" + ++sent);
         send(question, random.nextInt(hosts.size()), hosts.size());
     }
 
@@ -90,13 +117,13 @@
         long start = micros();
         HostPlan host = hosts.get(first % hosts.size());
         http.sendAsync(question.to(host), HttpResponse.BodyHandlers.ofByteArray())
-                .whenComplete((answer, e) -> {
+                .whenComplete((answer, e) -> loop.execute(() -> {
                     if (e != null && isNotConnected(e) && tries > 1) {
                         send(question, first + 1, tries - 1);
                     } else {
                         asks.add(ended(question, start, answer, e));
                     }
-                });
+                }));
     }
 
     private static boolean isNotConnected(Throwable e) {
@@ -141,17 +168,28 @@
      * @throws IOException where a request never ends
      */
     public List<Ask> finish() throws IOException {
+        stop();
+        Deployment.await("all requests have ended", PATIENCE_MILLIS, () -> ask(() -> asks.size() == sent));
+        List<Ask> all = ask(() -> List.copyOf(asks));
         close();
-        org.verbenamast.it.deploy.Deployment.await(
-                "all requests have ended", PATIENCE_MILLIS, () -> asks.size() == sent.get());
-        return List.copyOf(asks);
+        return all;
+    }
+
+    /** Asks the loop, from the thread of the test. */
+    private <T> T ask(Supplier<T> question) {
+        return loop.submit(AsyncComputation.of(question::get)).join();
+    }
+
+    private void stop() {
+        loop.execute(() -> stopped = true);
     }
 
     @Override
     public void close() {
-        clock.shutdown();
+        stop();
+        loop.execute(() -> loop.keepAlive(false));
         try {
-            clock.awaitTermination(1, TimeUnit.SECONDS);
+            thread.join(PATIENCE_MILLIS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
