Follow: nodes tell each other what they know of the store, and ask it less

Two of three were calls that follow tables: each node asked for the operators' rows every 1.7 s only to find a call that the network had swallowed, and followed the shared table 1.5 s after each change though the rows had been told directly. Change: requests and answers between nodes carry StoreNews. Who knows less asks 0.3 s later if the rows have not come; who knows as much lets its call wait. A call counts as lost only when neither this node nor a node it hears from has had an answer for 2.2 s. Pauses in the shared table are 10 s. FollowDeskTest: ten cases, among them no answer to anyone, and proof from a node that knows less. Its older case now lets the desk itself find the lost call, with the same bound of 3 s.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
@@ -25,8 +25,6 @@
 import org.verbenamast.core.roster.Roster;
 import org.verbenamast.core.roster.ServerLife;
 import org.verbenamast.core.roster.ServerState;
-import org.verbenamast.core.rows.RowChange;
-import org.verbenamast.core.rows.RowRef;
 import org.verbenamast.core.rows.RowReplica;
 import org.verbenamast.core.rows.RowTable;
 import org.verbenamast.core.rows.RowWriter;
@@ -34,6 +32,7 @@
 import org.verbenamast.core.rows.StoreResult;
 import org.verbenamast.core.rows.StoredRow;
 import org.verbenamast.core.watch.FollowDesk;
+import org.verbenamast.core.watch.Followed;
 
 /**
  * The decisions of a node, put together: what its parts tell each other, and when each has something to do. Reads no
@@ -76,7 +75,9 @@
         KeyDeskSettings keyed =
                 new KeyDeskSettings(self.node(), self.run(), self.service(), self.terms(), self.startedAt());
         this.keys = new KeyDesk(keyed, roster, replica, entry::reachable, listener);
-        this.membership = new RowWriter(StorePurpose.MEMBERSHIP, replica, now -> wantedRow(), listener);
+        OwnRow ownRow = new OwnRow(self, replica, backend);
+        this.membership = new RowWriter(
+                StorePurpose.MEMBERSHIP, replica, now -> rosterRead ? ownRow.wanted() : List.of(), listener);
     }
 
     /**
@@ -123,30 +124,6 @@
                         () -> roster.remove(row.ref().key()));
     }
 
-    private RowRef ownRow() {
-        return new RowRef(RowTable.MEMBERS, self.node());
-    }
-
-    private List<RowChange> wantedRow() {
-        Optional<Heartbeat> last = backend.last();
-        if (last.isEmpty() || !rosterRead) {
-            return List.of();
-        }
-        Member wanted = new Member(
-                self.node(),
-                self.peer(),
-                self.zone(),
-                last.get().service(),
-                last.get().life(),
-                last.get().slots(),
-                backend.state());
-        StoredRow known = replica.find(ownRow());
-        if (known.content().filter(wanted::equals).isPresent()) {
-            return List.of();
-        }
-        return List.of(new RowChange(ownRow(), known.expectedVersion(), Optional.of(wanted)));
-    }
-
     /**
      * Takes a version of the manifest; an older one than the one in force changes nothing.
      *
@@ -185,6 +162,10 @@
      */
     public void rows(Collection<StoredRow> rows, long now, Effects effects) {
         replica.take(rows);
+        rows.stream()
+                .mapToLong(StoredRow::version)
+                .max()
+                .ifPresent(latest -> follow.saw(Followed.SHARED, latest, now, effects));
         advance(now, effects);
     }
 
@@ -273,6 +254,9 @@
      * @param effects the sink of the effects
      */
     public void stored(StorePurpose purpose, long ticket, StoreResult result, long now, Effects effects) {
+        if (result instanceof StoreResult.Committed committed && purpose.shared()) {
+            follow.saw(Followed.SHARED, committed.version(), now, effects);
+        }
         if (purpose == StorePurpose.MEMBERSHIP) {
             membership.stored(ticket, result, now, effects);
         } else {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowAction.java
@@ -2,6 +2,7 @@
 
 import org.verbenamast.core.chart.Action;
 import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.node.Timing;
 
 /** The steps of a followed table. */
 public enum FollowAction implements Action<FollowData, FollowInput> {
@@ -9,7 +10,7 @@
     READ_ALL {
         @Override
         public FollowData apply(FollowData data, FollowInput input, long now, Effects effects) {
-            FollowData next = data.calling();
+            FollowData next = data.calling(now);
             effects.emit(new FollowEffect.ReadAll(next.table(), next.ticket()));
             return next;
         }
@@ -18,7 +19,7 @@
     AWAIT {
         @Override
         public FollowData apply(FollowData data, FollowInput input, long now, Effects effects) {
-            FollowData next = data.calling();
+            FollowData next = data.calling(now);
             effects.emit(new FollowEffect.Await(next.table(), next.version(), next.ticket()));
             return next;
         }
@@ -27,7 +28,35 @@
     NOTE_VERSION {
         @Override
         public FollowData apply(FollowData data, FollowInput input, long now, Effects effects) {
-            return data.reached(input.version());
+            return data.reached(input, now);
+        }
+    },
+    /** Begins the pause after a change. */
+    PAUSE {
+        @Override
+        public FollowData apply(FollowData data, FollowInput input, long now, Effects effects) {
+            return data.pausingUntil(now + Timing.nanos(data.table().pauseMillis()));
+        }
+    },
+    /** Notes a row that came in another way. */
+    NOTE_ROW {
+        @Override
+        public FollowData apply(FollowData data, FollowInput input, long now, Effects effects) {
+            return data.saw(input.latest());
+        }
+    },
+    /** Notes a row that another node knows. */
+    NOTE_TOLD {
+        @Override
+        public FollowData apply(FollowData data, FollowInput input, long now, Effects effects) {
+            return data.toldOf(input.latest());
+        }
+    },
+    /** Notes when another node heard from the store; the input's version is that time. */
+    NOTE_PROOF {
+        @Override
+        public FollowData apply(FollowData data, FollowInput input, long now, Effects effects) {
+            return data.provenAt(input.version());
         }
     },
     /** Counts a failure. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowData.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowData.java
@@ -7,25 +7,84 @@
  *
  * @param table the table
  * @param version the version after which changes are wanted
+ * @param latest the version of the newest row that is known
+ * @param wanted the version of the newest row that another node knows
+ * @param calledAt when the last call was made, in nanoseconds
+ * @param answeredAt when the store last answered this node, in nanoseconds
+ * @param provenAt when the store last showed, to this node or another one, that nothing newer is there, in nanoseconds
+ * @param resumeAt when the pause after a change ends, in nanoseconds
  * @param ticket the number of the last call
  * @param failures the failed calls in a row
  */
-public record FollowData(Followed table, long version, long ticket, int failures) {
+public record FollowData(
+        Followed table,
+        long version,
+        long latest,
+        long wanted,
+        long calledAt,
+        long answeredAt,
+        long provenAt,
+        long resumeAt,
+        long ticket,
+        int failures) {
 
     /** Checks the table. */
     public FollowData {
         Objects.requireNonNull(table, "table");
     }
 
-    FollowData calling() {
-        return new FollowData(table, version, ticket + 1, failures);
+    static FollowData of(Followed table) {
+        return new FollowData(table, 0, 0, 0, 0, 0, 0, 0, 0, 0);
     }
 
-    FollowData reached(long newVersion) {
-        return new FollowData(table, Math.max(version, newVersion), ticket, 0);
+    FollowData calling(long now) {
+        return new FollowData(
+                table, version, latest, wanted, now, answeredAt, provenAt, resumeAt, ticket + 1, failures);
+    }
+
+    FollowData reached(FollowInput input, long now) {
+        long reached = Math.max(version, input.version());
+        long newest = Math.max(latest, input.latest());
+        return new FollowData(table, reached, newest, wanted, calledAt, now, now, resumeAt, ticket, 0);
+    }
+
+    FollowData pausingUntil(long until) {
+        return new FollowData(table, version, latest, wanted, calledAt, answeredAt, provenAt, until, ticket, failures);
+    }
+
+    FollowData saw(long row) {
+        long newest = Math.max(latest, row);
+        return new FollowData(
+                table, version, newest, wanted, calledAt, answeredAt, provenAt, resumeAt, ticket, failures);
+    }
+
+    FollowData toldOf(long row) {
+        long newest = Math.max(wanted, row);
+        return new FollowData(
+                table, version, latest, newest, calledAt, answeredAt, provenAt, resumeAt, ticket, failures);
+    }
+
+    FollowData provenAt(long at) {
+        long newest = Math.max(provenAt, at);
+        return new FollowData(table, version, latest, wanted, calledAt, answeredAt, newest, resumeAt, ticket, failures);
     }
 
     FollowData failed() {
-        return new FollowData(table, version, ticket, failures + 1);
+        return new FollowData(
+                table, version, latest, wanted, calledAt, answeredAt, provenAt, resumeAt, ticket, failures + 1);
+    }
+
+    /** Tells whether rows up to a version are known. */
+    boolean knows(long row) {
+        return row <= Math.max(version, latest);
+    }
+
+    boolean behind() {
+        return !knows(wanted);
+    }
+
+    /** Returns when a call that waits counts as lost, unless some node has heard from the store by then. */
+    long silentFrom() {
+        return Math.max(calledAt, provenAt) + table.silenceNanos();
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowDesk.java
@@ -6,6 +6,7 @@
 import org.verbenamast.core.chart.Vocabulary;
 import org.verbenamast.core.chart.file.ChartReader;
 import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.node.Timing;
 
 /** The tables that this node follows. */
 public final class FollowDesk {
@@ -24,7 +25,7 @@
     public FollowDesk(TransitionListener listener) {
         this.tables = new Population<>(ChartReader.bundled("follow", VOCABULARY), event -> FollowInput.NONE, listener);
         for (Followed table : Followed.values()) {
-            tables.begin(table, new FollowData(table, 0, 0, 0), 0);
+            tables.begin(table, FollowData.of(table), 0);
         }
     }
 
@@ -56,6 +57,59 @@
         }
     }
 
+    /**
+     * Notes that rows of a table came in another way than by following it.
+     *
+     * @param table the table
+     * @param latest the version of the newest of them
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void saw(Followed table, long latest, long now, Effects effects) {
+        tables.fire(table, FollowEvent.SAW, new FollowInput(0, latest), now, effects);
+    }
+
+    /**
+     * Tells what this node knows.
+     *
+     * @param now the monotonic time, in nanoseconds
+     * @return the news for other nodes
+     */
+    public StoreNews news(long now) {
+        FollowData operators = tables.find(Followed.OPERATORS).data();
+        long age = (now - operators.answeredAt()) / Timing.NANOS_PER_MILLI;
+        return operators.answeredAt() == 0
+                ? StoreNews.NONE
+                : new StoreNews(
+                        operators.latest(),
+                        age,
+                        tables.find(Followed.SHARED).data().latest());
+    }
+
+    /**
+     * Takes what another node knows.
+     *
+     * @param news the news
+     * @param now the monotonic time, in nanoseconds
+     * @param effects the sink of the effects
+     */
+    public void told(StoreNews news, long now, Effects effects) {
+        told(Followed.SHARED, news.sharedVersion(), now, effects);
+        told(Followed.OPERATORS, news.operatorsVersion(), now, effects);
+        FollowData operators = tables.find(Followed.OPERATORS).data();
+        long version = news.operatorsVersion();
+        if (version > 0 && version >= operators.latest() && operators.knows(version)) {
+            long at = now - Timing.nanos(news.operatorsAgeMillis());
+            tables.fire(Followed.OPERATORS, FollowEvent.PROVEN, new FollowInput(at, 0), now, effects);
+        }
+    }
+
+    private void told(Followed table, long latest, long now, Effects effects) {
+        if (!tables.find(table).data().knows(latest)) {
+            tables.fire(table, FollowEvent.BEHIND, new FollowInput(0, latest), now, effects);
+        }
+    }
+
     /**
      * Fires the timers that are due.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowEvent.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowEvent.java
@@ -13,5 +13,15 @@
     /** A call failed. */
     FAILED,
     /** The pause is over. */
-    PAUSE_OVER
+    PAUSE_OVER,
+    /** No node has had an answer of the store for long, as far as is known. */
+    SILENT,
+    /** Rows came in another way. */
+    SAW,
+    /** Another node has heard from the store. */
+    PROVEN,
+    /** Another node knows a newer row. */
+    BEHIND,
+    /** What another node knew should have come by now. */
+    CATCH_UP
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowTimer.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowTimer.java
@@ -14,7 +14,31 @@
 
         @Override
         public long delayNanos(FollowData data, long now) {
-            return Timing.nanos(data.table().pauseMillis());
+            return Math.max(0, data.resumeAt() - now);
+        }
+    },
+    /** Finds a call that the network swallowed. */
+    SILENCE {
+        @Override
+        public FollowEvent fires() {
+            return FollowEvent.SILENT;
+        }
+
+        @Override
+        public long delayNanos(FollowData data, long now) {
+            return Math.max(0, data.silentFrom() - now);
+        }
+    },
+    /** Leaves rows that another node knows the time to come in the usual way. */
+    CATCH_UP {
+        @Override
+        public FollowEvent fires() {
+            return FollowEvent.CATCH_UP;
+        }
+
+        @Override
+        public long delayNanos(FollowData data, long now) {
+            return CATCH_UP_AFTER;
         }
     },
     /** Waits after a failed call; longer after each further one. */
@@ -30,6 +54,8 @@
         }
     };
 
+    /** Time for rows to come in the usual way, in nanoseconds; some round trips between availability zones. */
+    private static final long CATCH_UP_AFTER = Timing.nanos(300);
     /** First pause after a failed call, in milliseconds. */
     private static final long FIRST_PAUSE_MILLIS = 100;
     /** Longest pause after failed calls, in milliseconds; rows are known within two seconds of an outage's end. */
--- a/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowDeskTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowDeskTest.java
@@ -15,26 +15,49 @@
     /** Time after an impairment from which the platform counts a node as in touch, in milliseconds. */
     private static final long CONTACT_MILLIS = 3_000;
 
-    private static final FollowInput NOTHING = new FollowInput(0, true);
-
     private final List<Effect> effects = new ArrayList<>();
     private final FollowDesk desk = new FollowDesk(TransitionListener.NONE);
     private long now = Timing.nanos(1_000);
 
-    private FollowEffect.Await lastCall() {
+    private List<FollowEffect.Await> calls(Followed table) {
         return effects.stream()
                 .filter(FollowEffect.Await.class::isInstance)
                 .map(FollowEffect.Await.class::cast)
-                .filter(call -> call.table() == Followed.OPERATORS)
-                .reduce((first, second) -> second)
-                .orElseThrow();
+                .filter(call -> call.table() == table)
+                .toList();
+    }
+
+    private FollowEffect.Await lastCall(Followed table) {
+        List<FollowEffect.Await> calls = calls(table);
+        return calls.get(calls.size() - 1);
+    }
+
+    private FollowEffect.Await lastCall() {
+        return lastCall(Followed.OPERATORS);
+    }
+
+    private void begin() {
+        desk.start(now, effects::add);
+        for (Effect effect : List.copyOf(effects)) {
+            FollowEffect.ReadAll read = (FollowEffect.ReadAll) effect;
+            desk.ended(read.table(), read.ticket(), FollowEvent.READ, new FollowInput(7, 7), now, effects::add);
+        }
     }
 
-    private void loseCall() {
-        now += Timing.nanos(Followed.OPERATORS.lostAfterMillis());
-        desk.ended(Followed.OPERATORS, lastCall().ticket(), FollowEvent.FAILED, NOTHING, now, effects::add);
+    private void runFor(long millis) {
+        long until = now + Timing.nanos(millis);
+        while (desk.nextDue() <= until) {
+            now = Math.max(now, desk.nextDue());
+            desk.advance(now, effects::add);
+        }
+        now = until;
+    }
+
+    private void told(long operators, long ageMillis, long shared) {
+        desk.told(new StoreNews(operators, ageMillis, shared), now, effects::add);
     }
 
+    /** Lets the last call stay without an answer until the next one is made. */
     private void makeNextCall() {
         int before = effects.size();
         while (effects.size() == before) {
@@ -46,25 +69,158 @@
     @Test
     void should_ask_again_before_it_counts_as_in_touch_when_the_call_was_lost_as_an_impairment_ended() {
         // given
-        desk.start(now, effects::add);
-        FollowEffect.ReadAll read = effects.stream()
-                .filter(FollowEffect.ReadAll.class::isInstance)
-                .map(FollowEffect.ReadAll.class::cast)
-                .filter(call -> call.table() == Followed.OPERATORS)
-                .findFirst()
-                .orElseThrow();
-        desk.ended(Followed.OPERATORS, read.ticket(), FollowEvent.READ, new FollowInput(7, false), now, effects::add);
+        begin();
         for (int lost = 0; lost < 10; lost++) {
-            loseCall();
             makeNextCall();
         }
 
         // when
         long impairmentEnded = now;
-        loseCall();
         makeNextCall();
 
         // then
         assertThat(now - impairmentEnded).isLessThan(Timing.nanos(CONTACT_MILLIS));
     }
+
+    @Test
+    void should_ask_again_before_it_counts_as_in_touch_when_no_call_is_answered_and_other_nodes_hear_nothing_either() {
+        // given
+        begin();
+        runFor(400);
+
+        // when
+        for (int tenth = 0; tenth < CONTACT_MILLIS / 100; tenth++) {
+            runFor(100);
+            told(7, 400 + tenth * 100, 7);
+        }
+
+        // then
+        assertThat(calls(Followed.OPERATORS)).hasSizeGreaterThan(1);
+    }
+
+    @Test
+    void should_leave_its_call_waiting_when_other_nodes_hear_from_the_store() {
+        // given
+        begin();
+
+        // when
+        for (int tenth = 0; tenth < 70; tenth++) {
+            runFor(100);
+            told(7, 300, 7);
+        }
+
+        // then
+        assertThat(calls(Followed.OPERATORS)).hasSize(1);
+    }
+
+    @Test
+    void should_take_no_proof_when_the_other_node_knows_less() {
+        // given
+        begin();
+
+        // when
+        for (int tenth = 0; tenth < 30; tenth++) {
+            runFor(100);
+            told(6, 0, 7);
+        }
+
+        // then
+        assertThat(calls(Followed.OPERATORS)).hasSizeGreaterThan(1);
+    }
+
+    @Test
+    void should_ask_at_once_when_another_node_knows_a_newer_manifest_and_the_call_brings_nothing() {
+        // given
+        begin();
+        runFor(500);
+
+        // when
+        told(8, 0, 7);
+        runFor(350);
+
+        // then
+        assertThat(calls(Followed.OPERATORS)).hasSize(2);
+        assertThat(lastCall().after()).isEqualTo(7);
+    }
+
+    @Test
+    void should_not_ask_when_what_another_node_knew_came_in_the_usual_way() {
+        // given
+        begin();
+
+        // when
+        told(7, 0, 9);
+        runFor(50);
+        desk.saw(Followed.SHARED, 9, now, effects::add);
+        runFor(500);
+
+        // then
+        assertThat(calls(Followed.SHARED)).hasSize(1);
+    }
+
+    @Test
+    void should_end_the_pause_after_a_change_when_another_node_knows_a_newer_row() {
+        // given
+        begin();
+        desk.ended(
+                Followed.SHARED,
+                lastCall(Followed.SHARED).ticket(),
+                FollowEvent.CHANGED,
+                new FollowInput(9, 9),
+                now,
+                effects::add);
+        runFor(1_000);
+        assertThat(calls(Followed.SHARED)).hasSize(1);
+
+        // when
+        told(7, 0, 11);
+        runFor(350);
+
+        // then
+        assertThat(calls(Followed.SHARED)).hasSize(2);
+    }
+
+    @Test
+    void should_keep_to_the_end_of_the_pause_when_news_came_that_it_soon_knew() {
+        // given
+        begin();
+        desk.ended(
+                Followed.SHARED,
+                lastCall(Followed.SHARED).ticket(),
+                FollowEvent.CHANGED,
+                new FollowInput(9, 9),
+                now,
+                effects::add);
+        runFor(1_000);
+
+        // when
+        told(7, 0, 11);
+        desk.saw(Followed.SHARED, 11, now, effects::add);
+        runFor(Followed.SHARED.pauseMillis() - 1_100);
+
+        // then
+        assertThat(calls(Followed.SHARED)).hasSize(1);
+        runFor(200);
+        assertThat(calls(Followed.SHARED)).hasSize(2);
+    }
+
+    @Test
+    void should_tell_its_own_last_answer_only_when_others_heard_later() {
+        // given
+        begin();
+        runFor(600);
+
+        // when
+        told(7, 100, 7);
+
+        // then
+        assertThat(desk.news(now)).isEqualTo(new StoreNews(7, 600, 7));
+    }
+
+    @Test
+    void should_tell_nothing_when_the_store_has_not_answered_yet() {
+        desk.start(now, effects::add);
+
+        assertThat(desk.news(now)).isEqualTo(StoreNews.NONE);
+    }
 }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
@@ -10,6 +10,7 @@
 import org.verbenamast.core.entry.EntryRequest;
 import org.verbenamast.core.node.Timing;
 import org.verbenamast.core.relay.RelayCore;
+import org.verbenamast.core.watch.StoreNews;
 import org.verbenamast.relay.RelayLoop;
 import org.verbenamast.relay.peer.PeerPool;
 import org.verbenamast.relay.telemetry.LogField;
@@ -157,7 +158,8 @@
         answerEnded = false;
         told = false;
         accepted = false;
-        RelayOpen.Builder frame = RelayFrames.open(request, open.target(), open.lastChance(), RelayLoop.now())
+        RelayOpen.Builder frame = RelayFrames.open(
+                        request, open.target(), open.lastChance(), core.follow().news(RelayLoop.now()), RelayLoop.now())
                 .setMethod(head.getMethod())
                 .setTarget(head.getTarget())
                 .setHost(head.getHost())
@@ -194,6 +196,11 @@
         connection.accepted();
     }
 
+    @Override
+    public void told(StoreNews news) {
+        loop.run((now, effects) -> core.follow().told(news, now, effects));
+    }
+
     @Override
     public void refused(Refusal reason, long retryAfterMillis, GateLoad told) {
         loop.run((now, effects) -> core.entry().refused(request.id(), reason, retryAfterMillis, told, now, effects));
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/RelayTry.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/RelayTry.java
@@ -7,6 +7,7 @@
 import org.verbenamast.core.admission.GateLoad;
 import org.verbenamast.core.admission.Refusal;
 import org.verbenamast.core.model.Address;
+import org.verbenamast.core.watch.StoreNews;
 import org.verbenamast.relay.peer.FrameLink;
 import org.verbenamast.relay.peer.PeerPool;
 import org.verbenamast.wire.generated.RelayAnswer;
@@ -31,6 +32,9 @@
         /** Is told that the request is at the server now. */
         void accepted();
 
+        /** Takes what the other node knows of the tables that every node follows. */
+        void told(StoreNews news);
+
         /** Is told that the request has not run and will not. */
         void refused(Refusal reason, long retryAfterMillis, GateLoad load);
 
@@ -111,6 +115,7 @@
 
     @Override
     public void frame(RelayFrame frame) {
+        tell(frame);
         switch (frame.getBodyCase()) {
             case ACCEPTED -> observer.accepted();
             case REFUSED -> {
@@ -136,6 +141,14 @@
         }
     }
 
+    private void tell(RelayFrame frame) {
+        if (frame.hasRefused()) {
+            observer.told(RelayFrames.news(frame.getRefused().getLoad().getNews()));
+        } else if (frame.hasAnswer()) {
+            observer.told(RelayFrames.news(frame.getAnswer().getLoad().getNews()));
+        }
+    }
+
     /** Lets the link carry another exchange where the other side has taken the whole request. */
     private void finish() {
         ended = true;
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateExchange.java
@@ -69,7 +69,7 @@
     /** Tells the sender that the request has not run and will not. */
     void refuse(Refusal reason, long retryAfterMillis) {
         log("refused", reason.name(), retryAfterMillis);
-        finish(RelayFrames.refused(reason, retryAfterMillis, server.load()));
+        finish(RelayFrames.refused(reason, retryAfterMillis, server.load(), server.news()));
     }
 
     private void log(String outcome, String reason, long retryAfterMillis) {
@@ -119,7 +119,7 @@
     }
 
     private RelayLoad load() {
-        return RelayFrames.load(server.load());
+        return RelayFrames.load(server.load(), server.news());
     }
 
     private void finish(RelayFrame last) {
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateServer.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateServer.java
@@ -19,6 +19,7 @@
 import org.verbenamast.core.model.Address;
 import org.verbenamast.core.relay.RelayCore;
 import org.verbenamast.core.rows.StoredRow;
+import org.verbenamast.core.watch.StoreNews;
 import org.verbenamast.relay.RelayLoop;
 import org.verbenamast.relay.backend.BackendPool;
 import org.verbenamast.relay.net.Sockets;
@@ -113,6 +114,10 @@
         return core.gate().load(RelayLoop.now());
     }
 
+    StoreNews news() {
+        return core.follow().news(RelayLoop.now());
+    }
+
     void finished(long id, boolean answered) {
         loop.run((now, effects) -> core.gate().finished(id, answered, now, effects));
     }
@@ -154,6 +159,8 @@
         }
 
         private void open(RelayOpen open) {
+            StoreNews news = RelayFrames.news(open.getNews());
+            loop.run((now, effects) -> core.follow().told(news, now, effects));
             RelayFrames.request(++lastId, open, RelayLoop.now())
                     .peek(request -> open(request, open))
                     .peekLeft(fault -> {
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
@@ -160,7 +160,7 @@
                         return;
                     }
                     takeAll(all.table(), read, rows.get().version());
-                    FollowInput input = new FollowInput(rows.get().version(), false);
+                    FollowInput input = new FollowInput(rows.get().version(), latest(read));
                     observer.followed(all.table(), all.ticket(), FollowEvent.READ, input);
                 });
     }
@@ -175,7 +175,7 @@
 
     private void failed(Followed table, long ticket, PlatformFault fault) {
         LOG.info("table {} could not be followed: {}", table, fault.detail());
-        observer.followed(table, ticket, FollowEvent.FAILED, new FollowInput(0, true));
+        observer.followed(table, ticket, FollowEvent.FAILED, FollowInput.NONE);
     }
 
     private void await(FollowEffect.Await await) {
@@ -183,7 +183,7 @@
         StoreMessage.Call call = StoreMessage.follow(tableOf(table), await.after(), table.waitMillis());
         connection.send(call, table.lostAfterMillis()).whenResult(answer -> {
             if (answer.gone()) {
-                observer.followed(table, await.ticket(), FollowEvent.HISTORY_GONE, new FollowInput(0, true));
+                observer.followed(table, await.ticket(), FollowEvent.HISTORY_GONE, FollowInput.NONE);
                 return;
             }
             Either<PlatformFault, Rows> rows = rowsOf(answer);
@@ -193,11 +193,15 @@
             }
             takeChanged(table, rows.get().rows());
             FollowInput input =
-                    new FollowInput(rows.get().version(), rows.get().rows().isEmpty());
+                    new FollowInput(rows.get().version(), latest(rows.get().rows()));
             observer.followed(table, await.ticket(), FollowEvent.CHANGED, input);
         });
     }
 
+    private static long latest(List<RawRow> rows) {
+        return rows.stream().mapToLong(RawRow::version).max().orElse(0);
+    }
+
     private void takeAll(Followed table, List<RawRow> rows, long version) {
         if (table == Followed.SHARED) {
             observer.readAll(StoreRows.decode(rows), version);
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/relay/RelayFrames.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/relay/RelayFrames.java
@@ -22,10 +22,12 @@
 import org.verbenamast.core.rows.RowRef;
 import org.verbenamast.core.rows.RowTable;
 import org.verbenamast.core.rows.StoredRow;
+import org.verbenamast.core.watch.StoreNews;
 import org.verbenamast.wire.WireException;
 import org.verbenamast.wire.generated.RelayFrame;
 import org.verbenamast.wire.generated.RelayHeat;
 import org.verbenamast.wire.generated.RelayLoad;
+import org.verbenamast.wire.generated.RelayNews;
 import org.verbenamast.wire.generated.RelayOpen;
 import org.verbenamast.wire.generated.RelayRefused;
 import org.verbenamast.wire.generated.RelayRow;
@@ -43,11 +45,14 @@
      * @param request the request
      * @param target the member that is to run it
      * @param lastChance whether no other member is left to ask
+     * @param news what the sender knows of the followed tables
      * @param now the monotonic time, in nanoseconds
      * @return the frame's builder
      */
-    public static RelayOpen.Builder open(EntryRequest request, Member target, boolean lastChance, long now) {
+    public static RelayOpen.Builder open(
+            EntryRequest request, Member target, boolean lastChance, StoreNews news, long now) {
         return RelayOpen.newBuilder()
+                .setNews(news(news))
                 .setAttemptId(request.attemptId())
                 .setRoute(request.route().name())
                 .setService(request.service())
@@ -103,14 +108,15 @@
      * @param reason why
      * @param retryAfterMillis when room is expected, in milliseconds
      * @param load how busy the server is
+     * @param news what the sender knows of the followed tables
      * @return the frame
      */
-    public static RelayFrame refused(Refusal reason, long retryAfterMillis, GateLoad load) {
+    public static RelayFrame refused(Refusal reason, long retryAfterMillis, GateLoad load, StoreNews news) {
         return RelayFrame.newBuilder()
                 .setRefused(RelayRefused.newBuilder()
                         .setReason(reason.ordinal())
                         .setRetryAfterMillis(retryAfterMillis)
-                        .setLoad(load(load)))
+                        .setLoad(load(load, news)))
                 .build();
     }
 
@@ -128,10 +134,12 @@
      * Encodes how busy a server is.
      *
      * @param load the load
+     * @param news what the sender knows of the followed tables
      * @return the message
      */
-    public static RelayLoad load(GateLoad load) {
+    public static RelayLoad load(GateLoad load, StoreNews news) {
         return RelayLoad.newBuilder()
+                .setNews(news(news))
                 .setRunning(load.running())
                 .setQueued(load.queued())
                 .setSlots(load.slots())
@@ -157,6 +165,29 @@
                 load.getStopping());
     }
 
+    private static RelayNews news(StoreNews news) {
+        return RelayNews.newBuilder()
+                .setOperatorsVersion(news.operatorsVersion())
+                .setOperatorsAgeMillis(news.operatorsAgeMillis())
+                .setSharedVersion(news.sharedVersion())
+                .build();
+    }
+
+    /**
+     * Decodes what a sender knows of the followed tables.
+     *
+     * @param news the message
+     * @return the news; numbers below 0, which no node sends, tell nothing
+     */
+    public static StoreNews news(RelayNews news) {
+        boolean valid =
+                Math.min(news.getOperatorsVersion(), Math.min(news.getOperatorsAgeMillis(), news.getSharedVersion()))
+                        >= 0;
+        return valid
+                ? new StoreNews(news.getOperatorsVersion(), news.getOperatorsAgeMillis(), news.getSharedVersion())
+                : StoreNews.NONE;
+    }
+
     /**
      * Encodes a report of busy keys.
      *
--- a/verbenamast-wire/src/test/java/org/verbenamast/wire/relay/RelayFramesTest.java
+++ b/verbenamast-wire/src/test/java/org/verbenamast/wire/relay/RelayFramesTest.java
@@ -26,8 +26,10 @@
 import org.verbenamast.core.rows.RowRef;
 import org.verbenamast.core.rows.RowTable;
 import org.verbenamast.core.rows.StoredRow;
+import org.verbenamast.core.watch.StoreNews;
 import org.verbenamast.wire.WireException;
 import org.verbenamast.wire.generated.RelayFrame;
+import org.verbenamast.wire.generated.RelayNews;
 import org.verbenamast.wire.generated.RelayOpen;
 import org.verbenamast.wire.generated.RelayRow;
 import org.verbenamast.wire.generated.RelayRows;
@@ -36,6 +38,7 @@
 
 class RelayFramesTest {
 
+    private static final StoreNews NEWS = new StoreNews(7, 250, 9);
     private static final ServerLife LIFE = new ServerLife("i-1", 77);
     private static final Member MEMBER =
             new Member("node-1", new Address("127.0.0.1", 7), new Zone("a"), "stock", LIFE, 9, ServerState.READY);
@@ -44,7 +47,7 @@
         Route route = new Route("r", "h", "/", RequestKind.UNSAFE, 1_000, 300, 3, 2, List.of(new Split("stock", 1)));
         EntryRequest request =
                 new EntryRequest(1, "attempt", route, "stock", key, 0, Timing.nanos(300), Timing.nanos(1_000));
-        return RelayFrames.open(request, MEMBER, true, Timing.nanos(100)).build();
+        return RelayFrames.open(request, MEMBER, true, NEWS, Timing.nanos(100)).build();
     }
 
     @Test
@@ -88,12 +91,13 @@
         GateLoad load = new GateLoad(3, 4, 9, 120, true, false);
 
         // when
-        RelayFrame frame = RelayFrames.refused(Refusal.COLD, 250, load);
+        RelayFrame frame = RelayFrames.refused(Refusal.COLD, 250, load, NEWS);
 
         // then
         assertThat(RelayFrames.reason(frame.getRefused())).isEqualTo(Refusal.COLD);
         assertThat(frame.getRefused().getRetryAfterMillis()).isEqualTo(250);
         assertThat(RelayFrames.load(frame.getRefused().getLoad())).isEqualTo(load);
+        assertThat(RelayFrames.news(frame.getRefused().getLoad().getNews())).isEqualTo(NEWS);
     }
 
     @Test
@@ -142,4 +146,15 @@
         assertThat(told).isEmpty();
         assertThat(refused).hasSize(2);
     }
+
+    @Test
+    void should_tell_nothing_when_the_news_hold_numbers_that_no_node_sends() {
+        RelayNews forged = RelayNews.newBuilder()
+                .setOperatorsVersion(7)
+                .setOperatorsAgeMillis(-1)
+                .build();
+
+        assertThat(RelayFrames.news(forged)).isEqualTo(StoreNews.NONE);
+        assertThat(RelayFrames.news(RelayNews.getDefaultInstance())).isEqualTo(StoreNews.NONE);
+    }
 }
