--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/Followed.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/Followed.java
@@ -11,8 +11,8 @@
      */
     OPERATORS(8_000, 0, 2_200),
     /**
-     * What nodes tell each other: members and owners of keys. They tell it directly as well, and a node that misses a row
-     * learns so from the next request, so that following the table only finds what nobody told.
+     * What nodes tell each other: members and owners of keys. They tell it directly as well, and a node that misses a
+     * row learns so from the next request, so that following the table only finds what nobody told.
      */
     SHARED(10_000, 10_000, 10_500);
 
