Follow: waits that differ, and news of the owners of keys alone

Two causes by a simulation on virtual time: as all calls waited equally long, none was answered before the time of silence, so that each node asked every 2.2 s; and a node's own row, or any member's, hid from it that it lacked new owners of keys, which it then learnt 10 s later. Ruled out: longer silence, which would break the bound of 3 s after an impairment. Change: how long a call waits is drawn from 0.5 to 12 s, so that some node has always just had an answer; only the versions of key maps count in the news; the pause in the shared table is 5 s.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
@@ -67,7 +67,7 @@
     public RelayCore(RelaySettings self, TransitionListener listener) {
         this.self = Objects.requireNonNull(self, "self");
         this.replica = new RowReplica(this::rowChanged);
-        this.follow = new FollowDesk(listener);
+        this.follow = new FollowDesk(self.random(), listener);
         this.backend = new BackendDesk(listener);
         this.standings = new Standings(backend, self.drainMillis());
         this.entry = new EntryDesk(self.zone(), roster, replica, self.random(), listener);
@@ -163,6 +163,7 @@
     public void rows(Collection<StoredRow> rows, long now, Effects effects) {
         replica.take(rows);
         rows.stream()
+                .filter(row -> row.ref().table() == RowTable.KEYS)
                 .mapToLong(StoredRow::version)
                 .max()
                 .ifPresent(latest -> follow.saw(Followed.SHARED, latest, now, effects));
@@ -254,7 +255,7 @@
      * @param effects the sink of the effects
      */
     public void stored(StorePurpose purpose, long ticket, StoreResult result, long now, Effects effects) {
-        if (result instanceof StoreResult.Committed committed && purpose.shared()) {
+        if (result instanceof StoreResult.Committed committed && purpose == StorePurpose.KEY_MAP) {
             follow.saw(Followed.SHARED, committed.version(), now, effects);
         }
         if (purpose == StorePurpose.MEMBERSHIP) {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/rows/StorePurpose.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/rows/StorePurpose.java
@@ -9,14 +9,5 @@
     /** The key map of this node's service. */
     KEY_MAP,
     /** The leases of other servers that may be lost. */
-    LEASE_WATCH;
-
-    /**
-     * Tells whether what it writes is in the table that all nodes follow.
-     *
-     * @return whether it is
-     */
-    public boolean shared() {
-        return this == MEMBERSHIP || this == KEY_MAP;
-    }
+    LEASE_WATCH
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowAction.java
@@ -20,7 +20,8 @@
         @Override
         public FollowData apply(FollowData data, FollowInput input, long now, Effects effects) {
             FollowData next = data.calling(now);
-            effects.emit(new FollowEffect.Await(next.table(), next.version(), next.ticket()));
+            long wait = next.table().waitMillis(data.random().getAsDouble());
+            effects.emit(new FollowEffect.Await(next.table(), next.version(), wait, next.ticket()));
             return next;
         }
     },
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowData.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowData.java
@@ -1,13 +1,15 @@
 package org.verbenamast.core.watch;
 
 import java.util.Objects;
+import java.util.function.DoubleSupplier;
 
 /**
  * How far a table was followed.
  *
  * @param table the table
+ * @param random draws numbers evenly from 0 (included) to 1 (excluded)
  * @param version the version after which changes are wanted
- * @param latest the version of the newest row that is known
+ * @param latest the version of the newest row that is known, of those that nodes tell each other of
  * @param wanted the version of the newest row that another node knows
  * @param calledAt when the last call was made, in nanoseconds
  * @param answeredAt when the store last answered this node, in nanoseconds
@@ -18,6 +20,7 @@
  */
 public record FollowData(
         Followed table,
+        DoubleSupplier random,
         long version,
         long latest,
         long wanted,
@@ -31,47 +34,50 @@
     /** Checks the table. */
     public FollowData {
         Objects.requireNonNull(table, "table");
+        Objects.requireNonNull(random, "random");
     }
 
-    static FollowData of(Followed table) {
-        return new FollowData(table, 0, 0, 0, 0, 0, 0, 0, 0, 0);
+    static FollowData of(Followed table, DoubleSupplier random) {
+        return new FollowData(table, random, 0, 0, 0, 0, 0, 0, 0, 0, 0);
     }
 
     FollowData calling(long now) {
         return new FollowData(
-                table, version, latest, wanted, now, answeredAt, provenAt, resumeAt, ticket + 1, failures);
+                table, random, version, latest, wanted, now, answeredAt, provenAt, resumeAt, ticket + 1, failures);
     }
 
     FollowData reached(FollowInput input, long now) {
         long reached = Math.max(version, input.version());
         long newest = Math.max(latest, input.latest());
-        return new FollowData(table, reached, newest, wanted, calledAt, now, now, resumeAt, ticket, 0);
+        return new FollowData(table, random, reached, newest, wanted, calledAt, now, now, resumeAt, ticket, 0);
     }
 
     FollowData pausingUntil(long until) {
-        return new FollowData(table, version, latest, wanted, calledAt, answeredAt, provenAt, until, ticket, failures);
+        return new FollowData(
+                table, random, version, latest, wanted, calledAt, answeredAt, provenAt, until, ticket, failures);
     }
 
     FollowData saw(long row) {
         long newest = Math.max(latest, row);
         return new FollowData(
-                table, version, newest, wanted, calledAt, answeredAt, provenAt, resumeAt, ticket, failures);
+                table, random, version, newest, wanted, calledAt, answeredAt, provenAt, resumeAt, ticket, failures);
     }
 
     FollowData toldOf(long row) {
         long newest = Math.max(wanted, row);
         return new FollowData(
-                table, version, latest, newest, calledAt, answeredAt, provenAt, resumeAt, ticket, failures);
+                table, random, version, latest, newest, calledAt, answeredAt, provenAt, resumeAt, ticket, failures);
     }
 
     FollowData provenAt(long at) {
         long newest = Math.max(provenAt, at);
-        return new FollowData(table, version, latest, wanted, calledAt, answeredAt, newest, resumeAt, ticket, failures);
+        return new FollowData(
+                table, random, version, latest, wanted, calledAt, answeredAt, newest, resumeAt, ticket, failures);
     }
 
     FollowData failed() {
         return new FollowData(
-                table, version, latest, wanted, calledAt, answeredAt, provenAt, resumeAt, ticket, failures + 1);
+                table, random, version, latest, wanted, calledAt, answeredAt, provenAt, resumeAt, ticket, failures + 1);
     }
 
     /** Tells whether rows up to a version are known. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowDesk.java
@@ -1,5 +1,8 @@
 package org.verbenamast.core.watch;
 
+import java.util.Objects;
+import java.util.function.DoubleSupplier;
+
 import org.verbenamast.core.chart.NoTag;
 import org.verbenamast.core.chart.Population;
 import org.verbenamast.core.chart.TransitionListener;
@@ -20,12 +23,14 @@
     /**
      * Makes the desk of a node that follows nothing yet.
      *
+     * @param random draws numbers evenly from 0 (included) to 1 (excluded)
      * @param listener is told of each transition
      */
-    public FollowDesk(TransitionListener listener) {
+    public FollowDesk(DoubleSupplier random, TransitionListener listener) {
+        Objects.requireNonNull(random, "random");
         this.tables = new Population<>(ChartReader.bundled("follow", VOCABULARY), event -> FollowInput.NONE, listener);
         for (Followed table : Followed.values()) {
-            tables.begin(table, FollowData.of(table), 0);
+            tables.begin(table, FollowData.of(table, random), 0);
         }
     }
 
@@ -66,7 +71,7 @@
      * @param effects the sink of the effects
      */
     public void saw(Followed table, long latest, long now, Effects effects) {
-        tables.fire(table, FollowEvent.SAW, new FollowInput(0, latest), now, effects);
+        tables.fire(table, FollowEvent.SAW, FollowInput.latest(latest), now, effects);
     }
 
     /**
@@ -100,13 +105,13 @@
         long version = news.operatorsVersion();
         if (version > 0 && version >= operators.latest() && operators.knows(version)) {
             long at = now - Timing.nanos(news.operatorsAgeMillis());
-            tables.fire(Followed.OPERATORS, FollowEvent.PROVEN, new FollowInput(at, 0), now, effects);
+            tables.fire(Followed.OPERATORS, FollowEvent.PROVEN, FollowInput.at(at), now, effects);
         }
     }
 
     private void told(Followed table, long latest, long now, Effects effects) {
         if (!tables.find(table).data().knows(latest)) {
-            tables.fire(table, FollowEvent.BEHIND, new FollowInput(0, latest), now, effects);
+            tables.fire(table, FollowEvent.BEHIND, FollowInput.latest(latest), now, effects);
         }
     }
 
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/Followed.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/Followed.java
@@ -7,24 +7,24 @@
     /**
      * What operators write: the manifest and the availability zones that are out. Where no node has had an answer for
      * the time of silence, a call may have been swallowed by the network; it is made again, after the longest pause,
-     * within the 3 s from which the platform counts a node as in touch.
+     * within the 3 s from which the platform counts a node as in touch. Waits differ from call to call, so that at any
+     * time some node has just had an answer; the longest keeps within the store's history of 20 s.
      */
-    OPERATORS(8_000, 0, 2_200),
+    OPERATORS(500, 12_000, 0, 2_200),
     /**
-     * What nodes tell each other: members and owners of keys. They tell it directly as well, and a node that misses a
-     * row learns so from the next request, so that following the table only finds what nobody told.
+     * What nodes tell each other: members and owners of keys. They tell it directly as well, and a node that misses new
+     * owners learns so from the next request, so that following the table only finds what nobody told.
      */
-    SHARED(10_000, 10_000, 10_500);
+    SHARED(10_000, 10_000, 5_000, 10_500);
 
-    /** Time beyond its wait after which a call counts as lost, in milliseconds; many times that of a usual call. */
-    private static final long LOST_AFTER_MILLIS = 500;
-
-    private final long waitMillis;
+    private final long shortestWaitMillis;
+    private final long longestWaitMillis;
     private final long pauseMillis;
     private final long silenceMillis;
 
-    Followed(long waitMillis, long pauseMillis, long silenceMillis) {
-        this.waitMillis = waitMillis;
+    Followed(long shortestWaitMillis, long longestWaitMillis, long pauseMillis, long silenceMillis) {
+        this.shortestWaitMillis = shortestWaitMillis;
+        this.longestWaitMillis = longestWaitMillis;
         this.pauseMillis = pauseMillis;
         this.silenceMillis = silenceMillis;
     }
@@ -34,22 +34,9 @@
         return Timing.nanos(silenceMillis);
     }
 
-    /**
-     * Returns how long one call waits for a change.
-     *
-     * @return the time, in milliseconds
-     */
-    public long waitMillis() {
-        return waitMillis;
-    }
-
-    /**
-     * Returns after which time a call without an answer counts as lost.
-     *
-     * @return the time, in milliseconds
-     */
-    public long lostAfterMillis() {
-        return waitMillis + LOST_AFTER_MILLIS;
+    /** Returns how long a call waits for a change, in milliseconds; drawn evenly by a number from 0 to 1. */
+    long waitMillis(double drawn) {
+        return shortestWaitMillis + (long) (drawn * (longestWaitMillis - shortestWaitMillis));
     }
 
     /**
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/StoreNews.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/StoreNews.java
@@ -9,7 +9,7 @@
  * @param operatorsVersion the version of the newest row that operators wrote; 0 where none is known
  * @param operatorsAgeMillis how long ago the store last answered the node that tells this, in milliseconds; what that
  *     node heard from others is left out, so that no news is made young by going round
- * @param sharedVersion the version of the newest row that nodes wrote for each other; 0 where none is known
+ * @param sharedVersion the version of the newest owners of keys; 0 where none are known
  */
 public record StoreNews(long operatorsVersion, long operatorsAgeMillis, long sharedVersion) {
 
--- a/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowDeskTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowDeskTest.java
@@ -16,7 +16,7 @@
     private static final long CONTACT_MILLIS = 3_000;
 
     private final List<Effect> effects = new ArrayList<>();
-    private final FollowDesk desk = new FollowDesk(TransitionListener.NONE);
+    private final FollowDesk desk = new FollowDesk(() -> 0.99, TransitionListener.NONE);
     private long now = Timing.nanos(1_000);
 
     private List<FollowEffect.Await> calls(Followed table) {
@@ -40,7 +40,7 @@
         desk.start(now, effects::add);
         for (Effect effect : List.copyOf(effects)) {
             FollowEffect.ReadAll read = (FollowEffect.ReadAll) effect;
-            desk.ended(read.table(), read.ticket(), FollowEvent.READ, new FollowInput(7, 7), now, effects::add);
+            desk.ended(read.table(), read.ticket(), FollowEvent.READ, new FollowInput(7, 7, false), now, effects::add);
         }
     }
 
@@ -166,7 +166,7 @@
                 Followed.SHARED,
                 lastCall(Followed.SHARED).ticket(),
                 FollowEvent.CHANGED,
-                new FollowInput(9, 9),
+                new FollowInput(9, 9, false),
                 now,
                 effects::add);
         runFor(1_000);
@@ -188,7 +188,7 @@
                 Followed.SHARED,
                 lastCall(Followed.SHARED).ticket(),
                 FollowEvent.CHANGED,
-                new FollowInput(9, 9),
+                new FollowInput(9, 9, false),
                 now,
                 effects::add);
         runFor(1_000);
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.LongStream;
 
 import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
@@ -15,6 +16,7 @@
 import org.verbenamast.core.model.Address;
 import org.verbenamast.core.model.Zone;
 import org.verbenamast.core.rows.RowRef;
+import org.verbenamast.core.rows.RowTable;
 import org.verbenamast.core.rows.StoreEffect;
 import org.verbenamast.core.rows.StoreResult;
 import org.verbenamast.core.rows.StoredRow;
@@ -160,7 +162,7 @@
                         return;
                     }
                     takeAll(all.table(), read, rows.get().version());
-                    FollowInput input = new FollowInput(rows.get().version(), latest(read));
+                    FollowInput input = new FollowInput(rows.get().version(), latest(all.table(), read), false);
                     observer.followed(all.table(), all.ticket(), FollowEvent.READ, input);
                 });
     }
@@ -180,8 +182,8 @@
 
     private void await(FollowEffect.Await await) {
         Followed table = await.table();
-        StoreMessage.Call call = StoreMessage.follow(tableOf(table), await.after(), table.waitMillis());
-        connection.send(call, table.lostAfterMillis()).whenResult(answer -> {
+        StoreMessage.Call call = StoreMessage.follow(tableOf(table), await.after(), await.waitMillis());
+        connection.send(call, await.lostAfterMillis()).whenResult(answer -> {
             if (answer.gone()) {
                 observer.followed(table, await.ticket(), FollowEvent.HISTORY_GONE, FollowInput.NONE);
                 return;
@@ -191,15 +193,21 @@
                 failed(table, await.ticket(), rows.getLeft());
                 return;
             }
-            takeChanged(table, rows.get().rows());
-            FollowInput input =
-                    new FollowInput(rows.get().version(), latest(rows.get().rows()));
+            List<RawRow> changed = rows.get().rows();
+            takeChanged(table, changed);
+            FollowInput input = new FollowInput(rows.get().version(), latest(table, changed), changed.isEmpty());
             observer.followed(table, await.ticket(), FollowEvent.CHANGED, input);
         });
     }
 
-    private static long latest(List<RawRow> rows) {
-        return rows.stream().mapToLong(RawRow::version).max().orElse(0);
+    /** Returns the version of the newest row that nodes tell each other of; of those they share, the owners of keys. */
+    private static long latest(Followed table, List<RawRow> rows) {
+        LongStream versions = table == Followed.OPERATORS
+                ? rows.stream().mapToLong(RawRow::version)
+                : StoreRows.decode(rows).stream()
+                        .filter(row -> row.ref().table() == RowTable.KEYS)
+                        .mapToLong(StoredRow::version);
+        return versions.max().orElse(0);
     }
 
     private void takeAll(Followed table, List<RawRow> rows, long version) {
