Rows: a node tells the others of the rows that it wrote

Ruled out: that the messages were lost or refused: none was sent. Change: the writer's step after a commit tells the other members of the rows in followed tables.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/rows/WriterAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/rows/WriterAction.java
@@ -1,5 +1,7 @@
 package org.verbenamast.core.rows;
 
+import java.util.List;
+
 import org.verbenamast.core.chart.Action;
 import org.verbenamast.core.effect.Effects;
 
@@ -30,10 +32,13 @@
     TAKE_WRITTEN {
         @Override
         public WriterData apply(WriterData data, WriterInput input, long now, Effects effects) {
-            data.replica()
-                    .take(data.changes().stream()
-                            .map(change -> change.committed(input.version()))
-                            .toList());
+            List<StoredRow> written = data.changes().stream()
+                    .map(change -> change.committed(input.version()))
+                    .toList();
+            data.replica().take(written);
+            List<StoredRow> followed =
+                    written.stream().filter(row -> row.ref().table().followed()).toList();
+            effects.emit(new SpreadRows(followed));
             return data;
         }
     },
--- /dev/null
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/rows/RowWriterTest.java
@@ -0,0 +1,59 @@
+package org.verbenamast.core.rows;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+import org.junit.jupiter.api.Test;
+import org.verbenamast.core.chart.TransitionListener;
+import org.verbenamast.core.effect.Effect;
+import org.verbenamast.core.keys.KeyMap;
+import org.verbenamast.core.node.Timing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class RowWriterTest {
+
+    private static final RowRef MAP = new RowRef(RowTable.KEYS, "stock");
+    private static final RowRef LEASE = new RowRef(RowTable.LEASES, "server@1");
+
+    private final List<Effect> effects = new ArrayList<>();
+    private final RowReplica replica = new RowReplica(row -> {});
+    private final KeyMap map = KeyMap.vacant("stock");
+    private final long now = Timing.nanos(1_000);
+    private List<RowChange> wanted =
+            List.of(new RowChange(MAP, 0, Optional.of(map)), new RowChange(LEASE, 3, Optional.empty()));
+    private final RowWriter writer =
+            new RowWriter(StorePurpose.KEY_MAP, replica, at -> wanted, TransitionListener.NONE);
+
+    private StoreEffect.Commit commit() {
+        return (StoreEffect.Commit) effects.get(0);
+    }
+
+    @Test
+    void should_tell_the_other_members_of_followed_rows_when_the_store_took_them() {
+        // given
+        writer.review(now, effects::add);
+
+        // when
+        wanted = List.of();
+        writer.stored(commit().ticket(), new StoreResult.Committed(9), now, effects::add);
+
+        // then
+        assertThat(effects).last().isEqualTo(new SpreadRows(List.of(new StoredRow(MAP, 9, Optional.of(map)))));
+        assertThat(replica.find(MAP).version()).isEqualTo(9);
+    }
+
+    @Test
+    void should_tell_nobody_when_the_store_had_another_version() {
+        // given
+        writer.review(now, effects::add);
+
+        // when
+        wanted = List.of();
+        writer.stored(commit().ticket(), new StoreResult.Conflicted(List.of()), now, effects::add);
+
+        // then
+        assertThat(effects).noneMatch(SpreadRows.class::isInstance);
+    }
+}
