Store client: each row of the operators counts once

Cause: since a call that follows the operators' rows may be made again while the earlier one still waits, the earlier one can be answered after the later one; its rows were taken as news, so that a zone taken back could count as out again, for good. Ruled out: closing the earlier call's connection, as its answer may be the first one to come. Change: OperatorRows keeps the version up to which rows are known and leaves out older ones; it was part of StoreClient. Figures: OperatorRowsTest, three cases; the late answer took a zone out again before.

--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
@@ -1,11 +1,9 @@
 package org.verbenamast.relay.store;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 import java.util.stream.LongStream;
 
 import io.activej.eventloop.Eventloop;
@@ -14,7 +12,6 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.verbenamast.core.model.Address;
-import org.verbenamast.core.model.Zone;
 import org.verbenamast.core.rows.RowRef;
 import org.verbenamast.core.rows.RowTable;
 import org.verbenamast.core.rows.StoreEffect;
@@ -25,7 +22,6 @@
 import org.verbenamast.core.watch.FollowEvent;
 import org.verbenamast.core.watch.FollowInput;
 import org.verbenamast.core.watch.Followed;
-import org.verbenamast.platform.ManifestMessage;
 import org.verbenamast.platform.PlatformFault;
 import org.verbenamast.platform.StoreMessage;
 import org.verbenamast.platform.StoreMessage.RawRow;
@@ -43,7 +39,7 @@
 
     private final StoreConnection connection;
     private final StoreObserver observer;
-    private final Set<Zone> zonesOut = new HashSet<>();
+    private final OperatorRows operators;
 
     /**
      * Makes a client without connections.
@@ -55,6 +51,7 @@
     public StoreClient(Eventloop eventloop, Address store, StoreObserver observer) {
         this.connection = new StoreConnection(eventloop, store);
         this.observer = Objects.requireNonNull(observer, "observer");
+        this.operators = new OperatorRows(observer);
     }
 
     /**
@@ -213,37 +210,16 @@
     private void takeAll(Followed table, List<RawRow> rows, long version) {
         if (table == Followed.SHARED) {
             observer.readAll(StoreRows.decode(rows), version);
-            return;
+        } else {
+            operators.all(rows, version);
         }
-        zonesOut.clear();
-        rows.forEach(this::takeOperators);
-        observer.zonesOut(Set.copyOf(zonesOut));
     }
 
     private void takeChanged(Followed table, List<RawRow> rows) {
-        if (rows.isEmpty()) {
-            return;
-        }
-        if (table == Followed.SHARED) {
+        if (table == Followed.OPERATORS) {
+            operators.changed(rows);
+        } else if (!rows.isEmpty()) {
             observer.changed(StoreRows.decode(rows));
-            return;
-        }
-        rows.forEach(this::takeOperators);
-        observer.zonesOut(Set.copyOf(zonesOut));
-    }
-
-    private void takeOperators(RawRow row) {
-        if (row.key().equals(StoreMessage.MANIFEST_KEY)) {
-            row.value().ifPresent(value -> ManifestMessage.decode(value)
-                    .peek(observer::manifest)
-                    .peekLeft(fault -> LOG.warn("manifest of row version {} refused: {}", row.version(), fault)));
-        } else if (row.key().startsWith(StoreMessage.ZONE_OUT_KEY)) {
-            Zone zone = new Zone(row.key().substring(StoreMessage.ZONE_OUT_KEY.length()));
-            if (row.value().isPresent()) {
-                zonesOut.add(zone);
-            } else {
-                zonesOut.remove(zone);
-            }
         }
     }
 
