--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowAction.java
@@ -53,11 +53,11 @@
             return data.toldOf(input.latest());
         }
     },
-    /** Notes when another node heard from the store; the input's version is that time. */
+    /** Notes when the store answered another node. */
     NOTE_PROOF {
         @Override
         public FollowData apply(FollowData data, FollowInput input, long now, Effects effects) {
-            return data.provenAt(input.version());
+            return data.provenAt(input.provenAt());
         }
     },
     /** Counts a failure. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowDesk.java
@@ -71,7 +71,7 @@
      * @param effects the sink of the effects
      */
     public void saw(Followed table, long latest, long now, Effects effects) {
-        tables.fire(table, FollowEvent.SAW, FollowInput.latest(latest), now, effects);
+        tables.fire(table, FollowEvent.SAW, FollowInput.row(latest), now, effects);
     }
 
     /**
@@ -105,13 +105,13 @@
         long version = news.operatorsVersion();
         if (version > 0 && version >= operators.latest() && operators.knows(version)) {
             long at = now - Timing.nanos(news.operatorsAgeMillis());
-            tables.fire(Followed.OPERATORS, FollowEvent.PROVEN, FollowInput.at(at), now, effects);
+            tables.fire(Followed.OPERATORS, FollowEvent.PROVEN, FollowInput.proof(at), now, effects);
         }
     }
 
     private void told(Followed table, long latest, long now, Effects effects) {
         if (!tables.find(table).data().knows(latest)) {
-            tables.fire(table, FollowEvent.BEHIND, FollowInput.latest(latest), now, effects);
+            tables.fire(table, FollowEvent.BEHIND, FollowInput.row(latest), now, effects);
         }
     }
 
--- a/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowDeskTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowDeskTest.java
@@ -40,7 +40,13 @@
         desk.start(now, effects::add);
         for (Effect effect : List.copyOf(effects)) {
             FollowEffect.ReadAll read = (FollowEffect.ReadAll) effect;
-            desk.ended(read.table(), read.ticket(), FollowEvent.READ, new FollowInput(7, 7, false), now, effects::add);
+            desk.ended(
+                    read.table(),
+                    read.ticket(),
+                    FollowEvent.READ,
+                    FollowInput.answered(7, 7, false),
+                    now,
+                    effects::add);
         }
     }
 
@@ -166,7 +172,7 @@
                 Followed.SHARED,
                 lastCall(Followed.SHARED).ticket(),
                 FollowEvent.CHANGED,
-                new FollowInput(9, 9, false),
+                FollowInput.answered(9, 9, false),
                 now,
                 effects::add);
         runFor(1_000);
@@ -188,7 +194,7 @@
                 Followed.SHARED,
                 lastCall(Followed.SHARED).ticket(),
                 FollowEvent.CHANGED,
-                new FollowInput(9, 9, false),
+                FollowInput.answered(9, 9, false),
                 now,
                 effects::add);
         runFor(1_000);
--- a/verbenamast-core/src/test/java/org/verbenamast/core/watch/VirtualFollowers.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/watch/VirtualFollowers.java
@@ -56,14 +56,14 @@
             desk.advance(now(), this::run);
             List<Long> answered = List.copyOf(reads);
             reads.clear();
-            answered.forEach(ticket -> answer(ticket, FollowEvent.READ, new FollowInput(version, version, false)));
+            answered.forEach(ticket -> answer(ticket, FollowEvent.READ, FollowInput.answered(version, version, false)));
             for (Call call : List.copyOf(waiting)) {
                 if (call.swallowed()) {
                     end(call, millis >= call.endsAt(), FollowEvent.FAILED, FollowInput.NONE);
                 } else if (version > call.await().after()) {
-                    end(call, true, FollowEvent.CHANGED, new FollowInput(version, version, false));
+                    end(call, true, FollowEvent.CHANGED, FollowInput.answered(version, version, false));
                 } else {
-                    end(call, millis >= call.endsAt(), FollowEvent.CHANGED, new FollowInput(version, 0, true));
+                    end(call, millis >= call.endsAt(), FollowEvent.CHANGED, FollowInput.answered(version, 0, true));
                 }
             }
         }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
@@ -197,7 +197,7 @@
     }
 
     @Override
-    public void told(StoreNews news) {
+    public void heard(StoreNews news) {
         loop.run((now, effects) -> core.follow().told(news, now, effects));
     }
 
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/RelayTry.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/RelayTry.java
@@ -33,7 +33,7 @@
         void accepted();
 
         /** Takes what the other node knows of the tables that every node follows. */
-        void told(StoreNews news);
+        void heard(StoreNews news);
 
         /** Is told that the request has not run and will not. */
         void refused(Refusal reason, long retryAfterMillis, GateLoad load);
@@ -115,7 +115,7 @@
 
     @Override
     public void frame(RelayFrame frame) {
-        tell(frame);
+        passNews(frame);
         switch (frame.getBodyCase()) {
             case ACCEPTED -> observer.accepted();
             case REFUSED -> {
@@ -141,11 +141,11 @@
         }
     }
 
-    private void tell(RelayFrame frame) {
+    private void passNews(RelayFrame frame) {
         if (frame.hasRefused()) {
-            observer.told(RelayFrames.news(frame.getRefused().getLoad().getNews()));
+            observer.heard(RelayFrames.news(frame.getRefused().getLoad().getNews()));
         } else if (frame.hasAnswer()) {
-            observer.told(RelayFrames.news(frame.getAnswer().getLoad().getNews()));
+            observer.heard(RelayFrames.news(frame.getAnswer().getLoad().getNews()));
         }
     }
 
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/settings/SettingsWatch.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/settings/SettingsWatch.java
@@ -24,7 +24,7 @@
 
     private final Path file;
     private RelayNodeSettings inForce;
-    private Optional<Stamp> seen;
+    private Optional<Stamp> seen = Optional.empty();
 
     /** By what a change of the file is told without reading it. */
     private record Stamp(FileTime changedAt, long bytes) {}
@@ -45,7 +45,7 @@
         try {
             return Optional.of(new Stamp(Files.getLastModifiedTime(file), Files.size(file)));
         } catch (IOException e) {
-            if (seen == null || seen.isPresent()) {
+            if (seen.isPresent()) {
                 LOG.warn("settings file {} can't be looked at; the settings in force stay", file, e);
             }
             return Optional.empty();
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
@@ -159,7 +159,7 @@
                         return;
                     }
                     takeAll(all.table(), read, rows.get().version());
-                    FollowInput input = new FollowInput(rows.get().version(), latest(all.table(), read), false);
+                    FollowInput input = FollowInput.answered(rows.get().version(), latest(all.table(), read), false);
                     observer.followed(all.table(), all.ticket(), FollowEvent.READ, input);
                 });
     }
@@ -192,7 +192,7 @@
             }
             List<RawRow> changed = rows.get().rows();
             takeChanged(table, changed);
-            FollowInput input = new FollowInput(rows.get().version(), latest(table, changed), changed.isEmpty());
+            FollowInput input = FollowInput.answered(rows.get().version(), latest(table, changed), changed.isEmpty());
             observer.followed(table, await.ticket(), FollowEvent.CHANGED, input);
         });
     }
