--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyDesk.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyDesk.java
@@ -284,7 +284,7 @@
         HeatReport report = new HeatReport(
                 service, book.life(), lastBeat.slots(), Math.max(1, serviceMillis), cold, List.copyOf(seenKeys));
         seenKeys.clear();
-        hosts.planner()
+        hosts.planner(now)
                 .filter(member -> !member.node().equals(node))
                 .ifPresentOrElse(
                         member -> effects.emit(new KeyEffect.TellHeat(member, report)), () -> heat(report, now));
@@ -300,7 +300,7 @@
 
     /** Watches the leases of owners that are not there any more or that this node does not reach. */
     private void suspectOwners(long now, Effects effects) {
-        boolean planning = hosts.plansHere();
+        boolean planning = hosts.plansHere(now);
         Set<ServerLife> watched = new HashSet<>();
         for (ServerLife owner : map().owners()) {
             boolean suspect = endedHere.contains(owner) || planning && hosts.isLost(owner, now);
@@ -342,7 +342,7 @@
     private KeyMap planned(KeyMap map, long now) {
         noteMembers(now);
         boolean first = map.lastEpoch() == 0;
-        if (!hosts.plansHere() || first && now - calmSince < FIRST_DEAL_CALM) {
+        if (!hosts.plansHere(now) || first && now - calmSince < FIRST_DEAL_CALM) {
             return map;
         }
         List<Member> serving = hosts.present(now);
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyHosts.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyHosts.java
@@ -40,13 +40,15 @@
         return serving().stream().filter(member -> !isLost(member.life(), now)).toList();
     }
 
-    /** Returns the member that plans: the first one by name that this node reaches. */
-    Optional<Member> planner() {
-        return serving().stream().filter(this::isHere).min(Comparator.comparing(Member::node));
+    /** Returns the member that plans: the first one by name that this node reaches and that was not lost lately. */
+    Optional<Member> planner(long now) {
+        return serving().stream()
+                .filter(member -> !isLost(member.life(), now) && isHere(member))
+                .min(Comparator.comparing(Member::node));
     }
 
-    boolean plansHere() {
-        return planner().filter(member -> member.node().equals(node)).isPresent();
+    boolean plansHere(long now) {
+        return planner(now).filter(member -> member.node().equals(node)).isPresent();
     }
 
     private boolean isHere(Member member) {
