Keys: a member is not looked up anew to tell whether it is lost

Cause: since the member that plans must not be lost, each review asks that of every member, and each such question searched all members for the one with that run: work that grows with the square of the fleet, four times a second and at each heartbeat, on every node. Ruled out: an index of members by run, which the roster would have to keep for this alone. Change: where the member is at hand its own reachability is used; only owners from the map are looked up. Conclusion: same answers, one pass over the members.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyHosts.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyHosts.java
@@ -37,13 +37,13 @@
 
     /** Returns the members of the service that were not lost for long. */
     List<Member> present(long now) {
-        return serving().stream().filter(member -> !isLost(member.life(), now)).toList();
+        return serving().stream().filter(member -> !isLost(member, now)).toList();
     }
 
     /** Returns the member that plans: the first one by name that this node reaches and that was not lost lately. */
     Optional<Member> planner(long now) {
         return serving().stream()
-                .filter(member -> !isLost(member.life(), now) && isHere(member))
+                .filter(member -> !isLost(member, now) && isHere(member))
                 .min(Comparator.comparing(Member::node));
     }
 
@@ -57,8 +57,15 @@
 
     /** Tells whether an owner of keys has been out of reach for long. */
     boolean isLost(ServerLife owner, long now) {
-        boolean here = roster.hostOf(owner).filter(this::isHere).isPresent();
-        return suspects.lostFor(owner, here, now) >= SUSPECT_AFTER;
+        return isLost(owner, roster.hostOf(owner).filter(this::isHere).isPresent(), now);
+    }
+
+    private boolean isLost(Member member, long now) {
+        return isLost(member.life(), isHere(member), now);
+    }
+
+    private boolean isLost(ServerLife life, boolean here, long now) {
+        return suspects.lostFor(life, here, now) >= SUSPECT_AFTER;
     }
 
     /** Forgets for how long those were out of reach that neither own keys nor are members. */
