Store client: shared rows are decoded once; one look at the settings file

Cause: to tell the newest key map, each answer about shared rows was decoded a second time, a whole map at each change, and an unreadable row was logged twice; the settings watch asked the file system twice a second where one question tells both. Ruled out: reading the table from a row's key, which StoreRows alone knows how to take apart. Change: what hands rows on returns the newest version of the same decoded rows; time and size of the file come from one reading of its attributes. Figures: none measured. Conclusion: same inputs, half of the decoding.

--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/settings/SettingsWatch.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/settings/SettingsWatch.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.attribute.BasicFileAttributes;
 import java.nio.file.attribute.FileTime;
 import java.util.List;
 import java.util.Objects;
@@ -43,7 +44,8 @@
 
     private Optional<Stamp> stamp() {
         try {
-            return Optional.of(new Stamp(Files.getLastModifiedTime(file), Files.size(file)));
+            BasicFileAttributes now = Files.readAttributes(file, BasicFileAttributes.class);
+            return Optional.of(new Stamp(now.lastModifiedTime(), now.size()));
         } catch (IOException e) {
             if (seen.isPresent()) {
                 LOG.warn("settings file {} can't be looked at; the settings in force stay", file, e);
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
@@ -158,8 +158,8 @@
                         readPages(all, last + '\0', read);
                         return;
                     }
-                    takeAll(all.table(), read, rows.get().version());
-                    FollowInput input = FollowInput.answered(rows.get().version(), latest(all.table(), read), false);
+                    long latest = takeAll(all.table(), read, rows.get().version());
+                    FollowInput input = FollowInput.answered(rows.get().version(), latest, false);
                     observer.followed(all.table(), all.ticket(), FollowEvent.READ, input);
                 });
     }
@@ -191,36 +191,45 @@
                 return;
             }
             List<RawRow> changed = rows.get().rows();
-            takeChanged(table, changed);
-            FollowInput input = FollowInput.answered(rows.get().version(), latest(table, changed), changed.isEmpty());
+            long latest = takeChanged(table, changed);
+            FollowInput input = FollowInput.answered(rows.get().version(), latest, changed.isEmpty());
             observer.followed(table, await.ticket(), FollowEvent.CHANGED, input);
         });
     }
 
-    /** Returns the version of the newest row that nodes tell each other of; of those they share, the owners of keys. */
-    private static long latest(Followed table, List<RawRow> rows) {
-        LongStream versions = table == Followed.OPERATORS
-                ? rows.stream().mapToLong(RawRow::version)
-                : StoreRows.decode(rows).stream()
-                        .filter(row -> row.ref().table() == RowTable.KEYS)
-                        .mapToLong(StoredRow::version);
-        return versions.max().orElse(0);
-    }
-
-    private void takeAll(Followed table, List<RawRow> rows, long version) {
-        if (table == Followed.SHARED) {
-            observer.readAll(StoreRows.decode(rows), version);
-        } else {
+    /** Hands on all rows and returns the version of the newest one that nodes tell each other of. */
+    private long takeAll(Followed table, List<RawRow> rows, long version) {
+        if (table == Followed.OPERATORS) {
             operators.all(rows, version);
+            return newest(rows.stream().mapToLong(RawRow::version));
         }
+        List<StoredRow> shared = StoreRows.decode(rows);
+        observer.readAll(shared, version);
+        return newestOwners(shared);
     }
 
-    private void takeChanged(Followed table, List<RawRow> rows) {
+    /** Hands on changed rows and returns the version of the newest one that nodes tell each other of. */
+    private long takeChanged(Followed table, List<RawRow> rows) {
         if (table == Followed.OPERATORS) {
             operators.changed(rows);
-        } else if (!rows.isEmpty()) {
-            observer.changed(StoreRows.decode(rows));
+            return newest(rows.stream().mapToLong(RawRow::version));
+        }
+        List<StoredRow> shared = StoreRows.decode(rows);
+        if (!rows.isEmpty()) {
+            observer.changed(shared);
         }
+        return newestOwners(shared);
+    }
+
+    /** Of the shared rows, nodes tell each other of the owners of keys. */
+    private static long newestOwners(List<StoredRow> shared) {
+        return newest(shared.stream()
+                .filter(row -> row.ref().table() == RowTable.KEYS)
+                .mapToLong(StoredRow::version));
+    }
+
+    private static long newest(LongStream versions) {
+        return versions.max().orElse(0);
     }
 
     @Override
