Tests: one copy of a caller's question, and of steps that cases repeat

Cause: the soak's callers and the workload each had a record of a question, the same making of an Ask, the same reading of a failure and of the clock; three cases of the follow desk had one loop and two had one call, and two cases of the fleet one beginning. Ruled out: one class of callers for both: the soak asks relays on a loop of its own, the workload nodes of the product's own interface with another client. No assertion changes.

--- a/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowDeskTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowDeskTest.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.LongFunction;
 
 import org.junit.jupiter.api.Test;
 import org.verbenamast.core.chart.TransitionListener;
@@ -59,6 +60,20 @@
         now = until;
     }
 
+    /** Lets a tenth of a second pass and another node tell its news, again and again. */
+    private void runWhileTold(int tenths, LongFunction<StoreNews> newsAtTenth) {
+        for (int tenth = 0; tenth < tenths; tenth++) {
+            runFor(100);
+            desk.told(newsAtTenth.apply(tenth), now, effects::add);
+        }
+    }
+
+    private void bringSharedRow(long version) {
+        long ticket = lastCall(Followed.SHARED).ticket();
+        FollowInput row = FollowInput.answered(version, version, false);
+        desk.ended(Followed.SHARED, ticket, FollowEvent.CHANGED, row, now, effects::add);
+    }
+
     private void told(long operators, long ageMillis, long shared) {
         desk.told(new StoreNews(operators, ageMillis, shared), now, effects::add);
     }
@@ -95,10 +110,7 @@
         runFor(400);
 
         // when
-        for (int tenth = 0; tenth < CONTACT_MILLIS / 100; tenth++) {
-            runFor(100);
-            told(7, 400 + tenth * 100, 7);
-        }
+        runWhileTold((int) CONTACT_MILLIS / 100, tenth -> new StoreNews(7, 400 + tenth * 100, 7));
 
         // then
         assertThat(calls(Followed.OPERATORS)).hasSizeGreaterThan(1);
@@ -110,10 +122,7 @@
         begin();
 
         // when
-        for (int tenth = 0; tenth < 70; tenth++) {
-            runFor(100);
-            told(7, 300, 7);
-        }
+        runWhileTold(70, tenth -> new StoreNews(7, 300, 7));
 
         // then
         assertThat(calls(Followed.OPERATORS)).hasSize(1);
@@ -125,10 +134,7 @@
         begin();
 
         // when
-        for (int tenth = 0; tenth < 30; tenth++) {
-            runFor(100);
-            told(6, 0, 7);
-        }
+        runWhileTold(30, tenth -> new StoreNews(6, 0, 7));
 
         // then
         assertThat(calls(Followed.OPERATORS)).hasSizeGreaterThan(1);
@@ -168,13 +174,7 @@
     void should_end_the_pause_after_a_change_when_another_node_knows_a_newer_row() {
         // given
         begin();
-        desk.ended(
-                Followed.SHARED,
-                lastCall(Followed.SHARED).ticket(),
-                FollowEvent.CHANGED,
-                FollowInput.answered(9, 9, false),
-                now,
-                effects::add);
+        bringSharedRow(9);
         runFor(1_000);
         assertThat(calls(Followed.SHARED)).hasSize(1);
 
@@ -190,13 +190,7 @@
     void should_keep_to_the_end_of_the_pause_when_news_came_that_it_soon_knew() {
         // given
         begin();
-        desk.ended(
-                Followed.SHARED,
-                lastCall(Followed.SHARED).ticket(),
-                FollowEvent.CHANGED,
-                FollowInput.answered(9, 9, false),
-                now,
-                effects::add);
+        bringSharedRow(9);
         runFor(1_000);
 
         // when
--- a/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowFleetTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowFleetTest.java
@@ -24,6 +24,16 @@
         return fleet;
     }
 
+    /** Returns a fleet in which some nodes are cut off, so that they have missed a change. */
+    private static VirtualFollowers cutOffDuringAChange(long seed, boolean telling) {
+        VirtualFollowers fleet = started(24, seed, telling);
+        fleet.cutOff(0.3);
+        fleet.runFor(4_000 + seed * 310);
+        fleet.change();
+        fleet.runFor(700);
+        return fleet;
+    }
+
     @Test
     void should_make_no_more_calls_for_each_node_when_the_fleet_grows() {
         double few = started(30, 1, true).callsPerSecond(MINUTE);
@@ -47,11 +57,7 @@
     @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
     void should_know_a_change_when_in_touch_again_after_a_cut_that_swallowed_calls(long seed) {
         // given
-        VirtualFollowers fleet = started(24, seed, true);
-        fleet.cutOff(0.3);
-        fleet.runFor(4_000 + seed * 310);
-        fleet.change();
-        fleet.runFor(700);
+        VirtualFollowers fleet = cutOffDuringAChange(seed, true);
 
         // when
         fleet.heal();
@@ -80,11 +86,7 @@
     @ValueSource(longs = {1, 2, 3, 4})
     void should_know_a_change_in_time_when_calls_were_swallowed_and_no_request_is_under_way(long seed) {
         // given
-        VirtualFollowers fleet = started(24, seed, false);
-        fleet.cutOff(0.3);
-        fleet.runFor(4_000 + seed * 310);
-        fleet.change();
-        fleet.runFor(700);
+        VirtualFollowers fleet = cutOffDuringAChange(seed, false);
 
         // when
         fleet.heal();
--- a/verbenamast-it/src/main/java/org/verbenamast/it/check/Workload.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/check/Workload.java
@@ -1,7 +1,6 @@
 package org.verbenamast.it.check;
 
 import java.io.IOException;
-import java.net.ConnectException;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
@@ -26,7 +25,6 @@
 public final class Workload implements AutoCloseable {
 
     private static final long MICROS_PER_SECOND = 1_000_000;
-    private static final long NANOS_PER_MICRO = 1_000;
     private static final long PATIENCE_MILLIS = 20_000;
     /** Time between looks at what is due, in milliseconds; a part of the time between two requests at usual rates. */
     private static final long LOOK_MILLIS = 2;
@@ -73,7 +71,7 @@
     }
 
     private void begin() {
-        dueMicros = micros();
+        dueMicros = Question.micros();
         askWhatIsDue();
     }
 
@@ -81,7 +79,7 @@
         if (stopped) {
             return;
         }
-        for (; dueMicros <= micros(); dueMicros += everyMicros) {
+        for (; dueMicros <= Question.micros(); dueMicros += everyMicros) {
             ask();
         }
         loop.delay(LOOK_MILLIS, this::askWhatIsDue);
@@ -91,76 +89,43 @@
         String key = "key-" + random.nextInt(KEYS);
         boolean order = random.nextInt(ORDERS_ONE_IN) == 0;
         int bytes = order ? 0 : 1 + random.nextInt(MAX_BYTES);
-        Question question = new Question(key, order ? "POST" : "GET", bytes, "ask-" + ++sent);
+        Question question = new Question(order ? "POST" : "GET", "/items/" + key, key, bytes, "ask-" + ++sent);
         send(question, random.nextInt(hosts.size()), hosts.size());
     }
 
-    private record Question(String key, String method, int bytes, String id) {
-
-        HttpRequest to(HostPlan host) {
-            String query = bytes == 0 ? "" : "?bytes=" + bytes;
-            return Http.to(host.callers(), "/" + Plans.KEYED + path() + query)
-                    .header("Verbenamast-Key", key)
-                    .header("Idempotency-Key", id)
-                    .method(method, HttpRequest.BodyPublishers.noBody())
-                    .timeout(TIMEOUT)
-                    .build();
-        }
-
-        String path() {
-            return "/items/" + key;
-        }
+    private static HttpRequest request(Question question, HostPlan host) {
+        String query = question.bytes() == 0 ? "" : "?bytes=" + question.bytes();
+        return Http.to(host.callers(), "/" + Plans.KEYED + question.path() + query)
+                .header("Verbenamast-Key", question.key())
+                .header("Idempotency-Key", question.id())
+                .method(question.method(), HttpRequest.BodyPublishers.noBody())
+                .timeout(TIMEOUT)
+                .build();
     }
 
     /** Asks a node; where it takes no connection, nothing was sent, and the next node is asked. */
     private void send(Question question, int first, int tries) {
-        long start = micros();
+        long start = Question.micros();
         HostPlan host = hosts.get(first % hosts.size());
-        http.sendAsync(question.to(host), HttpResponse.BodyHandlers.ofByteArray())
+        http.sendAsync(request(question, host), HttpResponse.BodyHandlers.ofByteArray())
                 .whenComplete((answer, e) -> loop.execute(() -> {
-                    if (e != null && isNotConnected(e) && tries > 1) {
+                    if (e != null && Question.isNotConnected(e) && tries > 1) {
                         send(question, first + 1, tries - 1);
                     } else {
-                        asks.add(ended(question, start, answer, e));
+                        asks.add(e == null ? answered(question, start, answer) : question.failed(start, e));
                     }
                 }));
     }
 
-    private static boolean isNotConnected(Throwable e) {
-        return e instanceof ConnectException || e.getCause() instanceof ConnectException;
-    }
-
-    private static Ask ended(Question question, long start, HttpResponse<byte[]> answer, Throwable e) {
-        if (e != null) {
-            AskOutcome outcome = isNotConnected(e) ? AskOutcome.NOT_SENT : AskOutcome.CUT_OFF;
-            return ask(question, start, outcome, e.toString(), new byte[0]);
-        }
+    private static Ask answered(Question question, long start, HttpResponse<byte[]> answer) {
         AskOutcome outcome = AskOutcome.of(header(answer, "Verbenamast-Outcome"));
-        return ask(question, start, outcome, header(answer, "Verbenamast-Reason"), answer.body());
-    }
-
-    private static Ask ask(Question question, long start, AskOutcome outcome, String reason, byte[] body) {
-        return new Ask(
-                question.key(),
-                question.method(),
-                question.path(),
-                question.bytes(),
-                question.id(),
-                start,
-                micros(),
-                outcome,
-                reason,
-                body);
+        return question.ended(start, outcome, header(answer, "Verbenamast-Reason"), answer.body());
     }
 
     private static String header(HttpResponse<?> answer, String name) {
         return answer.headers().firstValue(name).orElse("");
     }
 
-    private static long micros() {
-        return System.nanoTime() / NANOS_PER_MICRO;
-    }
-
     /**
      * Stops to ask and waits for the last answers.
      *
--- a/verbenamast-it/src/main/java/org/verbenamast/it/soak/SoakCallers.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/soak/SoakCallers.java
@@ -1,6 +1,5 @@
 package org.verbenamast.it.soak;
 
-import java.net.ConnectException;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
@@ -16,6 +15,7 @@
 import org.verbenamast.http.HttpClients;
 import org.verbenamast.it.check.Ask;
 import org.verbenamast.it.check.AskOutcome;
+import org.verbenamast.it.check.Question;
 import org.verbenamast.it.deploy.RelayFleet;
 import org.verbenamast.platform.RequestFields;
 
@@ -29,7 +29,6 @@
     private static final int ORDERS_ONE_IN = 4;
     private static final String DEADLINE_MILLIS = "2500";
     private static final int MAX_BODY_BYTES = 1 << 20;
-    private static final long NANOS_PER_MICRO = 1_000;
     private static final int OK = 200;
     /** The statuses that promise that a request has not run and will not. */
     private static final List<Integer> NOT_RUN = List.of(408, 421, 429, 503);
@@ -44,8 +43,6 @@
     private int sent;
     private int answeredInARow;
 
-    private record Question(String method, String path, String key, int bytes, String id) {}
-
     SoakCallers(Eventloop eventloop, RelayFleet fleet, long seed) {
         this.eventloop = Objects.requireNonNull(eventloop, "eventloop");
         this.fleet = Objects.requireNonNull(fleet, "fleet");
@@ -95,14 +92,15 @@
         Question question = new Question(
                 order ? "POST" : "GET", order ? "/book/slot" : "/stock/item", key, bytes, "soak-" + ++sent);
         String callers = fleet.callers(random.nextInt(fleet.hosts()));
-        long start = micros();
+        long start = Question.micros();
         open++;
         client.request(request(question, callers))
                 .then(answer -> answer.loadBody(MAX_BODY_BYTES).map(body -> {
-                    note(question, start, outcome(answer), Integer.toString(answer.getCode()), body.getArray());
+                    String status = Integer.toString(answer.getCode());
+                    note(question.ended(start, outcome(answer), status, body.getArray()));
                     return answer;
                 }))
-                .whenException(e -> note(question, start, outcome(e), e.toString(), new byte[0]));
+                .whenException(e -> note(question.failed(start, e)));
     }
 
     private static HttpRequest request(Question question, String callers) {
@@ -123,28 +121,9 @@
         return NOT_RUN.contains(answer.getCode()) ? AskOutcome.NOT_RUN : AskOutcome.UNKNOWN;
     }
 
-    private static AskOutcome outcome(Throwable e) {
-        boolean refused = e instanceof ConnectException || e.getCause() instanceof ConnectException;
-        return refused ? AskOutcome.NOT_SENT : AskOutcome.CUT_OFF;
-    }
-
-    private void note(Question question, long start, AskOutcome outcome, String reason, byte[] body) {
+    private void note(Ask ask) {
         open--;
-        answeredInARow = outcome == AskOutcome.ANSWERED ? answeredInARow + 1 : 0;
-        asks.add(new Ask(
-                question.key(),
-                question.method(),
-                question.path(),
-                question.bytes(),
-                question.id(),
-                start,
-                micros(),
-                outcome,
-                reason,
-                body));
-    }
-
-    private static long micros() {
-        return System.nanoTime() / NANOS_PER_MICRO;
+        answeredInARow = ask.outcome() == AskOutcome.ANSWERED ? answeredInARow + 1 : 0;
+        asks.add(ask);
     }
 }
