--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionAction.java
@@ -21,6 +21,14 @@
             return data;
         }
     },
+    /** Reports to the sender that the request has not run because the server was not granted its key in time. */
+    REFUSE_KEY_ABSENT {
+        @Override
+        public AdmissionData apply(AdmissionData data, AdmissionInput input, long now, Effects effects) {
+            effects.emit(new AdmissionEffect.Refuse(data.request().id(), Refusal.NOT_OWNER, 0));
+            return data;
+        }
+    },
     /** Reports to the sender that the request has not run because too little time is left until its deadline. */
     REFUSE_TOO_LATE {
         @Override
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionController.java
@@ -51,6 +51,9 @@
     /** The queued requests by number, kept up to date by the transitions of the chart. */
     private final Map<Long, AdmissionRequest> queued = new LinkedHashMap<>();
 
+    /** The requests that wait for their key, by number; kept up to date like {@link #queued}. */
+    private final Map<Long, AdmissionRequest> awaitingKey = new LinkedHashMap<>();
+
     private int running;
     private Optional<ServerStatus> server = Optional.empty();
     private boolean stopping;
@@ -78,10 +81,15 @@
             return;
         }
         running += isTagged(transition.to(), AdmissionTag.RUNNING) - isTagged(transition.from(), AdmissionTag.RUNNING);
-        if (transition.to().hasTag(AdmissionTag.WAITING)) {
-            queued.put(id, requests.find(id).data().request());
+        recordMembership(queued, transition.to().hasTag(AdmissionTag.WAITING), id);
+        recordMembership(awaitingKey, transition.to().hasTag(AdmissionTag.AWAITING_KEY), id);
+    }
+
+    private void recordMembership(Map<Long, AdmissionRequest> members, boolean isMember, Long id) {
+        if (isMember) {
+            members.put(id, requests.find(id).data().request());
         } else {
-            queued.remove(id);
+            members.remove(id);
         }
     }
 
@@ -143,7 +151,9 @@
     private AdmissionInput decide(AdmissionRequest request, long now) {
         Optional<Refusal> refusal = findRefusal(request, now);
         if (refusal.isPresent()) {
-            return AdmissionInput.refused(refusal.get(), 0);
+            return isKeyExpected(refusal.get(), request, now)
+                    ? AdmissionInput.of(AdmissionInput.Verdict.AWAIT_KEY)
+                    : AdmissionInput.refused(refusal.get(), 0);
         }
         if (hasRoom(now) && queued.isEmpty()) {
             coldWindow.recordDispatch(now);
@@ -156,6 +166,10 @@
         return AdmissionInput.refused(isCold(now) ? Refusal.COLD : Refusal.FULL, (long) waitMillis);
     }
 
+    private boolean isKeyExpected(Refusal refusal, AdmissionRequest request, long now) {
+        return refusal == Refusal.NOT_OWNER && rules.isExpected(request.key().orElseThrow(), now);
+    }
+
     private Optional<Refusal> findRefusal(AdmissionRequest request, long now) {
         if (server.isEmpty() || !server.get().incarnation().equals(request.incarnation())) {
             return Optional.of(Refusal.WRONG_SERVER);
@@ -265,8 +279,14 @@
         dispatchWaiting(now, effects);
     }
 
-    /** Refuses the queued requests that the server can no longer serve, then dispatches those that it has room for. */
+    /** Refuses the waiting requests that the server can no longer serve, then dispatches those that it has room for. */
     private void reviewWaiting(long now, Effects effects) {
+        for (AdmissionRequest request : List.copyOf(awaitingKey.values())) {
+            AdmissionInput decision = decide(request, now);
+            if (decision.verdict() != AdmissionInput.Verdict.AWAIT_KEY) {
+                requests.fire(request.id(), AdmissionEvent.KEY_GRANTED, decision, now, effects);
+            }
+        }
         for (AdmissionRequest request : List.copyOf(queued.values())) {
             Optional<Refusal> refusal = findRefusal(request, now);
             if (refusal.isPresent()) {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionEvent.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionEvent.java
@@ -4,6 +4,10 @@
 public enum AdmissionEvent {
     /** The controller decided whether to dispatch, queue or refuse the request. */
     JUDGED,
+    /** The server was granted the key of a request that waits for it. */
+    KEY_GRANTED,
+    /** The server was not granted the key of a waiting request in time. */
+    KEY_OVERDUE,
     /** The server has room for a queued request. */
     ROOM,
     /** The server can no longer serve a queued request. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionGuard.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionGuard.java
@@ -11,6 +11,13 @@
             return input.verdict() == AdmissionInput.Verdict.DISPATCH;
         }
     },
+    /** The server is about to be granted the request's key. */
+    KEY_EXPECTED {
+        @Override
+        public boolean permits(AdmissionData data, AdmissionInput input, long now) {
+            return input.verdict() == AdmissionInput.Verdict.AWAIT_KEY;
+        }
+    },
     /** The request may be queued. */
     MAY_WAIT {
         @Override
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionInput.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionInput.java
@@ -27,10 +27,11 @@
         return new AdmissionInput(verdict, Refusal.FULL, 0);
     }
 
-    /** What the controller does with a new request. */
+    /** What the controller does with a request that has no place yet. */
     enum Verdict {
         DISPATCH,
         QUEUE,
+        AWAIT_KEY,
         REFUSE
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionRules.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionRules.java
@@ -22,6 +22,15 @@
      */
     boolean isGranted(int key, long now);
 
+    /**
+     * Returns whether a key that is not granted to the server is about to be, with the answer to its next heartbeat.
+     *
+     * @param key the key
+     * @param now the monotonic time, in nanoseconds
+     * @return whether requests for the key may wait here
+     */
+    boolean isExpected(int key, long now);
+
     /**
      * Returns whether a request is suspected of crashing servers.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryController.java
@@ -141,7 +141,7 @@
         if (owner.isEmpty()) {
             return EntryInput.routed(Optional.empty(), true, Refusal.NOT_OWNER);
         }
-        if (data.pauseRequired()) {
+        if (data.pauseRequired() && owner.equals(data.target())) {
             return EntryInput.routed(Optional.empty(), true, data.refusal());
         }
         if (!isReachable(owner.get())) {
@@ -279,6 +279,33 @@
         requests.fire(id, EntryEvent.CALLER_GONE, EntryInput.NONE, now, effects);
     }
 
+    /**
+     * Handles a change of the owners of keys: selects servers for the requests that have waited for one.
+     *
+     * @param service the service whose keys have new owners
+     * @param now the monotonic time, in nanoseconds
+     * @param effects receives the effects
+     */
+    public void onOwnersChanged(String service, long now, Effects effects) {
+        List<Long> askable = new ArrayList<>();
+        requests.forEach((id, instance) -> {
+            if (instance.hasTag(EntryTag.AWAITING_KEY)
+                    && instance.data().request().service().equals(service)
+                    && hasAskableOwner(instance.data())) {
+                askable.add(id);
+            }
+        });
+        askable.forEach(id -> fire(id, EntryEvent.OWNER_KNOWN, EntryInput.NONE, now, effects));
+    }
+
+    /** Returns whether the key has an owner, and not one that has refused the request and is giving the key up. */
+    private boolean hasAskableOwner(EntryData data) {
+        String service = data.request().service();
+        int key = data.request().key().orElseThrow();
+        Optional<Member> owner = selector.findOwner(service, key);
+        return owner.isPresent() && (!owner.equals(data.target()) || !selector.isMoving(service, key));
+    }
+
     /**
      * Fires the timers that are due and selects servers for the requests whose pause has ended.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryEvent.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryEvent.java
@@ -14,6 +14,8 @@
     ANSWERED,
     /** The caller has received the complete answer. */
     DELIVERED,
+    /** The key of a waiting request has an owner that can be asked. */
+    OWNER_KNOWN,
     /** The pause has ended, and a server is selected again. */
     AGAIN_DUE,
     /** The request's deadline has passed. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryTag.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryTag.java
@@ -3,5 +3,7 @@
 /** The tags that the chart of a request at its entry node gives its states. */
 public enum EntryTag {
     /** The controller has to select a server. */
-    ROUTING
+    ROUTING,
+    /** The request waits until its key has an owner that can be asked. */
+    AWAITING_KEY
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryTimer.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryTimer.java
@@ -30,6 +30,9 @@
         }
     };
 
-    /** Pause before a server is selected again, in milliseconds; short compared with a hand-over of keys. */
-    private static final long ROUTING_RETRY_MILLIS = 40;
+    /**
+     * Pause before a server is selected again although no new owner has become known, in milliseconds. The row that
+     * names the owner may be lost on its way; the owner makes requests wait until it is granted the key.
+     */
+    private static final long ROUTING_RETRY_MILLIS = 300;
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/TargetSelector.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/TargetSelector.java
@@ -48,12 +48,18 @@
         this.random = Objects.requireNonNull(random, "random");
     }
 
-    /** Finds the member beside the server that owns a key, or beside the server that the key is moving to. */
+    /** Finds the member beside the server that owns a key; a key that moves is its former owner's until released. */
     Optional<Member> findOwner(String service, int key) {
-        return replica.find(new RowRef(RowTable.KEYS, service)).content().flatMap(content -> {
-            KeyAssignment assignment = ((KeyMap) content).find(key);
-            return assignment.owner().flatMap(roster::findByIncarnation);
-        });
+        return assignment(service, key).flatMap(KeyAssignment::owner).flatMap(roster::findByIncarnation);
+    }
+
+    /** Returns whether a key's owner is giving it up in favour of another server. */
+    boolean isMoving(String service, int key) {
+        return assignment(service, key).flatMap(KeyAssignment::next).isPresent();
+    }
+
+    private Optional<KeyAssignment> assignment(String service, int key) {
+        return replica.find(new RowRef(RowTable.KEYS, service)).content().map(content -> ((KeyMap) content).find(key));
     }
 
     /**
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyController.java
@@ -59,9 +59,7 @@
     private final KeyLeaseController keyLease;
     private final RowWriter mapWriter;
     private final LeaseWatchController leaseWatch;
-    private final KeyLoad keyLoad = new KeyLoad();
-    private final KeyCapacity capacity = new KeyCapacity();
-    private final List<Integer> requestedKeys = new ArrayList<>();
+    private final KeyDemand demand;
     private final Set<ServerIncarnation> endedServers = new HashSet<>();
     private final long startedAt;
     private KeyGrantLedger grants;
@@ -93,6 +91,7 @@
         this.service = self.service();
         this.timings = self.timings();
         this.startedAt = self.startedAt();
+        this.demand = new KeyDemand(service);
         this.hosts = new KeyHosts(node, service, roster, reachable);
         this.replica = Objects.requireNonNull(replica, "replica");
         this.keyLease = new KeyLeaseController(timings, service, self.nodeIncarnation(), listener);
@@ -190,13 +189,24 @@
         return grants != null && grants.isGranted(key, now);
     }
 
+    /**
+     * Returns whether the next heartbeat of the server beside this node is going to be answered with a key.
+     *
+     * @param key the key
+     * @param now the monotonic time, in nanoseconds
+     * @return whether the server owns the key, it is not moving away, and this node may grant keys
+     */
+    public boolean isExpected(int key, long now) {
+        return grants != null && keyLease.grantMillis(now) >= MIN_GRANT_MILLIS && grants.isToBeGranted(key, map());
+    }
+
     /**
      * Records a request for a key, for the next load report.
      *
      * @param key the key
      */
     public void recordRequest(int key) {
-        requestedKeys.add(key);
+        demand.recordRequest(key);
     }
 
     /**
@@ -216,10 +226,7 @@
      * @param now the monotonic time, in nanoseconds
      */
     public void onLoadReport(KeyLoadReport report, long now) {
-        if (report.service().equals(service)) {
-            capacity.onLoadReport(report, now);
-            keyLoad.add(report.keys(), now);
-        }
+        demand.onLoadReport(report, now);
     }
 
     /**
@@ -262,6 +269,9 @@
      * @param effects receives the effects
      */
     public void advance(long now, Effects effects) {
+        if (grants != null) {
+            grants.settle(now);
+        }
         keyLease.advance(now, effects);
         leaseWatch.advance(now, effects);
         mapWriter.advance(now, effects);
@@ -290,14 +300,7 @@
         if (grants == null || lastHeartbeat == null) {
             return;
         }
-        KeyLoadReport report = new KeyLoadReport(
-                service,
-                grants.incarnation(),
-                lastHeartbeat.slots(),
-                Math.max(1, serviceMillis),
-                cold,
-                List.copyOf(requestedKeys));
-        requestedKeys.clear();
+        KeyLoadReport report = demand.takeReport(grants.incarnation(), lastHeartbeat.slots(), serviceMillis, cold);
         hosts.planner(now)
                 .filter(member -> !member.node().equals(node))
                 .ifPresentOrElse(
@@ -367,8 +370,7 @@
         serving.forEach(member -> incarnations.add(member.incarnation()));
         KeyMap kept = serving.isEmpty() ? map : map.withoutMovesTo(incarnation -> !incarnations.contains(incarnation));
         boolean balance = now >= nextBalance;
-        KeyPlan plan = new KeyPlan(keyLoad, capacity.candidates(serving, now));
-        KeyMap planned = plan.plan(kept, balance);
+        KeyMap planned = demand.plan(serving, now).plan(kept, balance);
         if (balance) {
             nextBalance = now + BALANCE_INTERVAL_NANOS;
         }
@@ -392,6 +394,6 @@
      */
     public long nextDue() {
         long due = Math.min(keyLease.nextDue(), Math.min(leaseWatch.nextDue(), mapWriter.nextDue()));
-        return Math.min(due, nextReview);
+        return Math.min(Math.min(due, nextReview), grants == null ? Long.MAX_VALUE : grants.settlesAt());
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyGrantLedger.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyGrantLedger.java
@@ -15,10 +15,18 @@
  */
 final class KeyGrantLedger {
 
+    /**
+     * Time after which a server has certainly received the answer that grants it keys, in nanoseconds. It runs on the
+     * same host, and rejects a request that overtakes the answer.
+     */
+    private static final long SETTLE_NANOS = Timing.millisToNanos(10);
+
     private final ServerIncarnation incarnation;
     private final List<FreedKeys> freed = new ArrayList<>();
     private final Map<KeyRange, Long> revocationEnds = new HashMap<>();
     private List<GrantedKeys> granted = List.of();
+    private List<GrantedKeys> settled = List.of();
+    private long settlesAt = Long.MAX_VALUE;
     private long grantedUntil;
 
     /**
@@ -50,7 +58,9 @@
         grants.stream()
                 .filter(keys -> !granted.contains(keys))
                 .forEach(keys -> effects.emit(new KeyEffect.Granted(incarnation, keys)));
+        settled = settled.stream().filter(grants::contains).toList();
         granted = List.copyOf(grants);
+        settlesAt = settled.size() == granted.size() ? Long.MAX_VALUE : now + SETTLE_NANOS;
         grantedUntil = Math.max(grantedUntil, now + Timing.millisToNanos(KeyLeaseTimings.plusDrift(durationMillis)));
     }
 
@@ -96,8 +106,34 @@
     }
 
     boolean isGranted(int key, long now) {
-        return now < grantedUntil
-                && granted.stream().anyMatch(grant -> grant.range().contains(key));
+        return now < grantedUntil && containKey(settled, key);
+    }
+
+    private static boolean containKey(List<GrantedKeys> keys, int key) {
+        for (GrantedKeys each : keys) {
+            if (each.range().contains(key)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns whether the next answer to a heartbeat is to grant a key, or the last one did and is still under way. */
+    boolean isToBeGranted(int key, KeyMap map) {
+        return containKey(grantsFrom(map), key);
+    }
+
+    /** Returns when the keys granted last are settled: the server has received them. */
+    long settlesAt() {
+        return settlesAt;
+    }
+
+    /** Makes the keys granted last available to requests once they are settled. */
+    void settle(long now) {
+        if (now >= settlesAt) {
+            settled = granted;
+            settlesAt = Long.MAX_VALUE;
+        }
     }
 
     /** Returns when all grants to this server incarnation have certainly expired, as monotonic time in nanoseconds. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
@@ -21,7 +21,6 @@
 import org.verbenamast.core.model.Zone;
 import org.verbenamast.core.node.Timing;
 import org.verbenamast.core.roster.Heartbeat;
-import org.verbenamast.core.roster.Member;
 import org.verbenamast.core.roster.Roster;
 import org.verbenamast.core.roster.ServerIncarnation;
 import org.verbenamast.core.roster.ServerState;
@@ -45,8 +44,7 @@
     private static final long REPORT_INTERVAL_NANOS = Timing.millisToNanos(500);
 
     private final RelaySettings settings;
-    private final Roster roster = new Roster();
-    private final RowReplica replica;
+    private final SharedRows rows = new SharedRows();
     private final BackendStateController backend;
     private final ServerStatuses serverStatuses;
     private final EntryController entry;
@@ -67,7 +65,8 @@
      */
     public RelayCore(RelaySettings settings, TransitionListener listener) {
         this.settings = Objects.requireNonNull(settings, "settings");
-        this.replica = new RowReplica(this::onRow);
+        RowReplica replica = rows.replica();
+        Roster roster = rows.roster();
         this.follow = new FollowController(settings.random(), listener);
         this.backend = new BackendStateController(listener);
         this.serverStatuses = new ServerStatuses(backend, settings.drainMillis());
@@ -119,14 +118,9 @@
         updateAdmission(now, effects);
     }
 
-    private void onRow(StoredRow row) {
-        if (row.ref().table() != RowTable.MEMBERS) {
-            return;
-        }
-        row.content()
-                .ifPresentOrElse(
-                        content -> roster.put((Member) content),
-                        () -> roster.remove(row.ref().key()));
+    /** Reports the key maps that have changed to the requests that wait for an owner. */
+    private void reportOwners(long now, Effects effects) {
+        rows.takeChangedKeyMaps().forEach(service -> entry.onOwnersChanged(service, now, effects));
     }
 
     /**
@@ -154,20 +148,20 @@
      */
     public void onEvacuatedZones(Set<Zone> evacuatedZones, long now, Effects effects) {
         evacuation.update(evacuatedZones.contains(settings.zone()), now);
-        roster.setEvacuatedZones(evacuatedZones);
+        rows.roster().setEvacuatedZones(evacuatedZones);
         updateAdmission(now, effects);
     }
 
     /**
      * Applies changed rows of the followed tables.
      *
-     * @param rows the rows
+     * @param changed the rows
      * @param now the monotonic time, in nanoseconds
      * @param effects receives the effects
      */
-    public void onRows(Collection<StoredRow> rows, long now, Effects effects) {
-        replica.apply(rows);
-        rows.stream()
+    public void onRows(Collection<StoredRow> changed, long now, Effects effects) {
+        rows.replica().apply(changed);
+        changed.stream()
                 .filter(row -> row.ref().table() == RowTable.KEYS)
                 .mapToLong(StoredRow::version)
                 .max()
@@ -178,31 +172,21 @@
     /**
      * Applies a snapshot of the followed tables.
      *
-     * @param rows all rows
+     * @param all all rows
      * @param version the store's version as of the snapshot
      * @param now the monotonic time, in nanoseconds
      * @param effects receives the effects
      */
-    public void onSnapshot(Collection<StoredRow> rows, long version, long now, Effects effects) {
-        replica.applySnapshot(rows, version);
+    public void onSnapshot(Collection<StoredRow> all, long version, long now, Effects effects) {
+        rows.replica().applySnapshot(all, version);
         if (!rosterRead) {
             rosterRead = true;
-            formerIncarnation().ifPresent(incarnation -> keys.onServerEnded(incarnation, now, effects));
+            backend.incarnation()
+                    .ifPresent(current -> reportFormerIncarnation(Optional.empty(), current, now, effects));
         }
         advance(now, effects);
     }
 
-    /**
-     * Returns the server incarnation that this node's row named before the node started, if another one runs beside it
-     * now.
-     */
-    private Optional<ServerIncarnation> formerIncarnation() {
-        Optional<ServerIncarnation> former = roster.find(settings.node())
-                .map(Member::incarnation)
-                .filter(incarnation -> !backend.incarnation().equals(Optional.of(incarnation)));
-        return backend.incarnation().isPresent() ? former : Optional.empty();
-    }
-
     /**
      * Handles a heartbeat from the server beside this node. Ignores it if it is of another service or outdated.
      *
@@ -223,10 +207,10 @@
         return grant;
     }
 
+    /** Reports the end of the incarnation before the current one, which may be known only from this node's row. */
     private void reportFormerIncarnation(
             Optional<ServerIncarnation> before, ServerIncarnation incarnation, long now, Effects effects) {
-        Optional<ServerIncarnation> former =
-                before.isPresent() ? before : roster.find(settings.node()).map(Member::incarnation);
+        Optional<ServerIncarnation> former = before.isPresent() ? before : rows.incarnationAt(settings.node());
         former.filter(other -> !other.equals(incarnation)).ifPresent(other -> keys.onServerEnded(other, now, effects));
     }
 
@@ -273,6 +257,7 @@
         } else {
             keys.onStoreResult(purpose, callId, result, now, effects);
         }
+        reportOwners(now, effects);
     }
 
     /**
@@ -290,6 +275,7 @@
         follow.advance(now, effects);
         memberRowWriter.advance(now, effects);
         memberRowWriter.review(now, effects);
+        reportOwners(now, effects);
         entry.advance(now, effects);
         admission.advance(now, effects);
         if (isKeyed()) {
@@ -322,6 +308,11 @@
         return keys.isGranted(key, now);
     }
 
+    @Override
+    public boolean isExpected(int key, long now) {
+        return keys.isExpected(key, now);
+    }
+
     @Override
     public boolean isSuspect(long id) {
         return false;
@@ -388,7 +379,7 @@
      * @return the row; one of version 0 without content if none is known
      */
     public StoredRow knownRow(RowRef ref) {
-        return replica.find(ref);
+        return rows.replica().find(ref);
     }
 
     /**
@@ -397,6 +388,6 @@
      * @return the roster
      */
     public Roster roster() {
-        return roster;
+        return rows.roster();
     }
 }
