Odd entries: one row, heartbeat or frame that can't be read affects itself alone

An unexpected error in a decision skipped the effects after it and the next timer, one in the housekeeping ended it, and with it the stop of the node.

Change: rows are read one by one, and what is skipped is logged; an unreadable row keeps what is known of it under its new version (UnreadableRow), so that its writer replaces it, and a key map that was never readable is not planned on, since its fencing tokens are unknown; numbers are checked; members must name an IP number and their own key. A response of the store may have 4 MiB, so that one without end can't fill the memory.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/TargetSelector.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/TargetSelector.java
@@ -15,6 +15,7 @@
 import org.verbenamast.core.rows.RowRef;
 import org.verbenamast.core.rows.RowReplica;
 import org.verbenamast.core.rows.RowTable;
+import org.verbenamast.core.rows.StoredRow;
 
 /** Selects the member that a request is sent to: the owner of its key, or the one that is expected to answer first. */
 final class TargetSelector {
@@ -59,7 +60,8 @@
     }
 
     private Optional<KeyAssignment> assignment(String service, int key) {
-        return replica.find(new RowRef(RowTable.KEYS, service)).content().map(content -> ((KeyMap) content).find(key));
+        StoredRow row = replica.find(new RowRef(RowTable.KEYS, service));
+        return row.isReadable() ? Optional.of(KeyMap.of(row).find(key)) : Optional.empty();
     }
 
     /**
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyController.java
@@ -35,20 +35,14 @@
 
     /** Time between reviews, in nanoseconds; short compared with the seconds for which keys stay hot. */
     private static final long REVIEW_INTERVAL_NANOS = Timing.millisToNanos(250);
-    /**
-     * Time between plans that move keys away from overloaded servers, in nanoseconds; one heartbeat interval, so that
-     * moves can complete.
-     */
+    /** Time between plans that move keys, in nanoseconds; one heartbeat interval, so that moves can complete. */
     private static final long BALANCE_INTERVAL_NANOS = Timing.millisToNanos(1_000);
     /** Stabilization delay after the last change of the member count before keys are first assigned, in nanoseconds. */
     private static final long FIRST_ASSIGNMENT_DELAY_NANOS = Timing.millisToNanos(1_500);
     /** Minimum grant duration, in milliseconds; a shorter grant would expire before the next heartbeat. */
     private static final long MIN_GRANT_MILLIS = 300;
 
-    /**
-     * Time after the last grant of a silent server has expired until the server counts as ended, in nanoseconds. Its
-     * keys can then be assigned to other servers.
-     */
+    /** Time after the last grant of a silent server has expired until the server counts as ended, in nanoseconds. */
     private static final long GRANT_END_SLACK_NANOS = Timing.millisToNanos(100);
 
     private final String node;
@@ -114,7 +108,7 @@
     }
 
     private KeyMap map() {
-        return (KeyMap) replica.find(mapRow()).content().orElseGet(() -> KeyMap.vacant(service));
+        return KeyMap.of(replica.find(mapRow()));
     }
 
     /**
@@ -334,9 +328,15 @@
         endedServers.retainAll(map().owners());
     }
 
-    /** Returns the row changes that bring the key map to the required state; empty if there are none. */
+    /**
+     * Returns the row changes that bring the key map to the required state; empty if there are none, and while the row
+     * is unreadable, since the fencing tokens given out are then unknown here.
+     */
     private List<RowChange> requiredChanges(long now) {
         StoredRow row = replica.find(mapRow());
+        if (row.isUnreadable()) {
+            return List.of();
+        }
         KeyMap before = map();
         List<RowChange> changes = new ArrayList<>();
         KeyMap after = before;
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyMap.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyMap.java
@@ -11,6 +11,7 @@
 import org.verbenamast.core.check.Checks;
 import org.verbenamast.core.roster.ServerIncarnation;
 import org.verbenamast.core.rows.RowContent;
+import org.verbenamast.core.rows.StoredRow;
 
 /**
  * The owners of all keys of a service. Immutable. Each change is committed on condition that the row still has the
@@ -46,6 +47,19 @@
                 service, 0, List.of(new KeyAssignment(KeyRange.ALL, Optional.empty(), 0, "", Optional.empty())));
     }
 
+    /**
+     * Returns the map that a row holds.
+     *
+     * @param row the row of a service's map
+     * @return the map; a vacant one if the row does not exist or is unreadable
+     */
+    public static KeyMap of(StoredRow row) {
+        return row.content()
+                .filter(KeyMap.class::isInstance)
+                .map(KeyMap.class::cast)
+                .orElseGet(() -> vacant(row.ref().key()));
+    }
+
     /**
      * Returns the assignment of a key.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/SharedRows.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/SharedRows.java
@@ -24,7 +24,9 @@
             changedKeyMaps.add(key);
         }
         if (row.ref().table() == RowTable.MEMBERS) {
-            row.content().ifPresentOrElse(content -> roster.put((Member) content), () -> roster.remove(key));
+            row.content()
+                    .filter(Member.class::isInstance)
+                    .ifPresentOrElse(content -> roster.put((Member) content), () -> roster.remove(key));
         }
     }
 
--- a/verbenamast-core/src/main/java/org/verbenamast/core/roster/Heartbeat.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/roster/Heartbeat.java
@@ -31,6 +31,9 @@
         List<HeldKeys> held,
         List<FreedKeys> freed) {
 
+    /** Longest time for which a server may say that it stays cold, in milliseconds; an hour. */
+    private static final long MAX_COLD_MILLIS = 3_600_000;
+
     /** Checks the fields and copies the lists. The time and the sequence may be 0. */
     public Heartbeat {
         Objects.requireNonNull(incarnation, "incarnation");
@@ -38,7 +41,7 @@
         Checks.notBlank("address", address);
         Checks.positive("slots", slots);
         Objects.requireNonNull(state, "state");
-        Checks.notNegative("coldMillis", coldMillis);
+        Checks.within("coldMillis", coldMillis, 0, MAX_COLD_MILLIS);
         Checks.notNegative("sequence", sequence);
         held = List.copyOf(held);
         freed = List.copyOf(freed);
--- a/verbenamast-core/src/main/java/org/verbenamast/core/rows/RowReplica.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/rows/RowReplica.java
@@ -25,7 +25,8 @@
     }
 
     /**
-     * Applies rows that were read, written or received from another node. Rows that are not newer are ignored.
+     * Applies rows that were read, written or received from another node. Rows that are not newer are ignored. A row
+     * that has become unreadable keeps its known content under the new version, so that its writer can replace it.
      *
      * @param received the rows
      */
@@ -33,8 +34,11 @@
         for (StoredRow row : received) {
             StoredRow known = rows.get(row.ref());
             if (known == null || known.version() < row.version()) {
-                rows.put(row.ref(), row);
-                listener.accept(row);
+                boolean keepsContent = known != null && known.isReadable() && row.isUnreadable();
+                rows.put(row.ref(), keepsContent ? new StoredRow(row.ref(), row.version(), known.content()) : row);
+                if (!keepsContent) {
+                    listener.accept(row);
+                }
             }
         }
     }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/rows/StoredRow.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/rows/StoredRow.java
@@ -30,4 +30,22 @@
     public long expectedVersion() {
         return content.isEmpty() ? 0 : version;
     }
+
+    /**
+     * Returns whether the row has a content that this node understands.
+     *
+     * @return false if the row does not exist or can't be decoded
+     */
+    public boolean isReadable() {
+        return content.isPresent() && content.get() != UnreadableRow.INSTANCE;
+    }
+
+    /**
+     * Returns whether the row exists but has a content that can't be decoded.
+     *
+     * @return false if the row does not exist or is readable
+     */
+    public boolean isUnreadable() {
+        return content.isPresent() && !isReadable();
+    }
 }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayLoop.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayLoop.java
@@ -7,12 +7,15 @@
 
 import io.activej.eventloop.Eventloop;
 import io.activej.reactor.schedule.ScheduledRunnable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.verbenamast.core.chart.Deadlines;
 import org.verbenamast.core.effect.Effect;
 import org.verbenamast.core.effect.Effects;
 import org.verbenamast.core.node.Timing;
 import org.verbenamast.core.relay.RelayCore;
 import org.verbenamast.core.watch.StoreVersions;
+import org.verbenamast.relay.telemetry.RequestCounts;
 
 /**
  * Runs decisions one at a time on the event loop, executes their effects, and schedules a wake-up for the next
@@ -33,8 +36,11 @@
         void decide(long now, Effects effects);
     }
 
+    private static final Logger LOG = LoggerFactory.getLogger(RelayLoop.class);
+
     private final Eventloop eventloop;
     private final RelayCore core;
+    private final RequestCounts counts;
     private final Consumer<Effect> effectRunner;
     private final Deque<Decision> pending = new ArrayDeque<>();
     private final Deque<Effect> effects = new ArrayDeque<>();
@@ -47,11 +53,13 @@
      *
      * @param eventloop the one event loop of the process
      * @param core the decision logic, which also supplies the next deadline
+     * @param counts counts the decisions and effects that fail with an unexpected error
      * @param effectRunner executes effects
      */
-    public RelayLoop(Eventloop eventloop, RelayCore core, Consumer<Effect> effectRunner) {
+    public RelayLoop(Eventloop eventloop, RelayCore core, RequestCounts counts, Consumer<Effect> effectRunner) {
         this.eventloop = Objects.requireNonNull(eventloop, "eventloop");
         this.core = Objects.requireNonNull(core, "core");
+        this.counts = Objects.requireNonNull(counts, "counts");
         this.effectRunner = Objects.requireNonNull(effectRunner, "effectRunner");
     }
 
@@ -77,7 +85,7 @@
         running = true;
         try {
             while (!pending.isEmpty()) {
-                pending.poll().decide(now(), effects::add);
+                decide(pending.poll());
                 runEffects();
             }
         } finally {
@@ -86,6 +94,16 @@
         scheduleWakeUp();
     }
 
+    /** Runs one decision. An error in it is confined to it, so that timers and other requests go on. */
+    private void decide(Decision decision) {
+        try {
+            decision.decide(now(), effects::add);
+        } catch (RuntimeException | StackOverflowError e) {
+            counts.recordError();
+            LOG.error("a decision failed; the node keeps running", e);
+        }
+    }
+
     /**
      * Handles the store versions that another node knows. Runs no decision if they are not newer than the known ones.
      *
@@ -99,7 +117,12 @@
 
     private void runEffects() {
         for (Effect effect = effects.poll(); effect != null; effect = effects.poll()) {
-            effectRunner.accept(effect);
+            try {
+                effectRunner.accept(effect);
+            } catch (RuntimeException | StackOverflowError e) {
+                counts.recordError();
+                LOG.error("effect {} failed; the node keeps running", effect, e);
+            }
         }
     }
 
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
@@ -95,7 +95,7 @@
                         (e, context) -> LOG.error("uncaught exception in the event loop; the node keeps running", e))
                 .build();
         this.core = new RelayCore(coreSettings(settings), BeliefLog::transition);
-        this.loop = new RelayLoop(eventloop, core, this::run);
+        this.loop = new RelayLoop(eventloop, core, counts, this::run);
         this.store = new StoreClient(eventloop, settings.store(), this);
         this.peers = new PeerPool(eventloop);
         this.backend = new BackendPool(eventloop, settings.server());
@@ -142,6 +142,13 @@
 
     private void housekeep() {
         eventloop.delayBackground(HOUSEKEEPING_INTERVAL_MILLIS, () -> {
+            if (stoppingSinceNanos != 0 && mayExit()) {
+                LOG.info("node {} stopped", settings.node());
+                eventloop.breakEventloop();
+                return;
+            }
+            // Scheduled first, so that an error below can't end the housekeeping, and with it the stop of the node.
+            housekeep();
             if (suspensionDetector.maybeSuspended()) {
                 LOG.warn("the host may have been suspended; confirming leases again");
                 loop.run(core::onSuspended);
@@ -153,12 +160,6 @@
                 callers.refuseNew();
                 loop.run(core.admission()::close);
             }
-            if (stoppingSinceNanos != 0 && mayExit()) {
-                LOG.info("node {} stopped", settings.node());
-                eventloop.breakEventloop();
-                return;
-            }
-            housekeep();
         });
     }
 
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/FrameLink.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/FrameLink.java
@@ -125,11 +125,25 @@
                 end();
                 return Promise.complete();
             }
-            handler.onFrame(frame);
+            if (!handle(frame)) {
+                return Promise.complete();
+            }
         }
         return handler == null ? Promise.complete() : handler.whenReady();
     }
 
+    /** Passes a frame to the handler; ends this link alone if the frame holds what no node sends. */
+    private boolean handle(RelayFrame frame) {
+        try {
+            handler.onFrame(frame);
+            return true;
+        } catch (RuntimeException e) {
+            LOG.warn("closing a link to another node, as a frame {} has odd values", frame.getBodyCase(), e);
+            end();
+            return false;
+        }
+    }
+
     private void end() {
         if (closed) {
             return;
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/OperatorRows.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/OperatorRows.java
@@ -57,7 +57,12 @@
                     .peek(observer::onManifest)
                     .peekLeft(fault -> LOG.warn("ignoring the manifest of row version {}: {}", row.version(), fault)));
         } else if (row.key().startsWith(StoreMessage.ZONE_OUT_KEY)) {
-            Zone zone = new Zone(row.key().substring(StoreMessage.ZONE_OUT_KEY.length()));
+            String name = row.key().substring(StoreMessage.ZONE_OUT_KEY.length());
+            if (name.isBlank()) {
+                LOG.warn("ignoring row {} of version {}: it names no availability zone", row.key(), row.version());
+                return;
+            }
+            Zone zone = new Zone(name);
             if (row.value().isPresent()) {
                 evacuatedZones.add(zone);
             } else {
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
@@ -80,7 +80,7 @@
                                 .<StoreResult>fold(this::unreadable, StoreResult.Committed::new);
                     }
                     if (response.conflict()) {
-                        return StoreMessage.rows(response.body())
+                        return readableRows(response)
                                 .<StoreResult>fold(this::unreadable, rows -> conflict(commit, rows));
                     }
                     return new StoreResult.Failed(response.failure());
@@ -116,7 +116,7 @@
             if (!response.ok()) {
                 return new StoreResult.Failed(response.failure());
             }
-            return StoreMessage.rows(response.body()).<StoreResult>fold(this::unreadable, rows -> {
+            return readableRows(response).<StoreResult>fold(this::unreadable, rows -> {
                 List<StoredRow> found = StoreRows.decode(rows.rows()).stream()
                         .filter(row -> row.ref().equals(ref))
                         .toList();
@@ -169,7 +169,13 @@
             String detail = "status " + response.status();
             return Either.left(new PlatformFault("store answer", PlatformFault.Kind.UNREADABLE, detail));
         }
-        return StoreMessage.rows(response.body());
+        return readableRows(response);
+    }
+
+    private static Either<PlatformFault, Rows> readableRows(StoreResponse response) {
+        Either<PlatformFault, Rows> rows = StoreMessage.rows(response.body());
+        rows.peek(read -> read.skipped().forEach(fault -> LOG.warn("skipping a row of the store: {}", fault)));
+        return rows;
     }
 
     private void onFollowFailed(FollowedTable table, long callId, PlatformFault fault) {
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreConnectionPool.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreConnectionPool.java
@@ -15,6 +15,8 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.verbenamast.core.model.Address;
 import org.verbenamast.platform.StoreMessage;
 import org.verbenamast.relay.net.HttpLink;
@@ -25,6 +27,11 @@
     /** Leaves time for one retransmission: TCP resends a lost packet after one second. */
     private static final long CONNECT_TIMEOUT_MILLIS = 1_200;
 
+    /** Longest body of a response that is read, in bytes; four times the store's limit on the rows of one. */
+    private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+
+    private static final Logger LOG = LoggerFactory.getLogger(StoreConnectionPool.class);
+
     private final Eventloop eventloop;
     private final Address store;
     private final Deque<HttpLink> idle = new ArrayDeque<>();
@@ -103,6 +110,12 @@
 
         @Override
         public void onBody(byte[] bytes) {
+            if (body.size() + bytes.length > MAX_BODY_BYTES) {
+                LOG.warn("closing a connection to the store: its response exceeds {} bytes", MAX_BODY_BYTES);
+                link.close();
+                onFailure();
+                return;
+            }
             body.writeBytes(bytes);
         }
 
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreRows.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreRows.java
@@ -8,10 +8,10 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.verbenamast.core.rows.RowChange;
-import org.verbenamast.core.rows.RowContent;
 import org.verbenamast.core.rows.RowRef;
 import org.verbenamast.core.rows.RowTable;
 import org.verbenamast.core.rows.StoredRow;
+import org.verbenamast.core.rows.UnreadableRow;
 import org.verbenamast.platform.StoreMessage.RawRow;
 import org.verbenamast.wire.relay.RelayRows;
 
@@ -45,7 +45,7 @@
         return new RawRow(tableOf(ref.table()), keyOf(ref), 0, change.content().map(RelayRows::encode));
     }
 
-    /** Decodes rows; logs and skips those with an unknown key and those that can't be decoded. */
+    /** Decodes rows; logs and skips those with an unknown key, and logs those whose content is unreadable. */
     static List<StoredRow> decode(List<RawRow> raw) {
         return decode(raw, ref -> new StoredRow(ref, 0, Optional.empty()));
     }
@@ -68,7 +68,7 @@
     private static Optional<RowRef> refOf(String key) {
         int slash = key.indexOf('/');
         Optional<RowTable> table = slash < 0 ? Optional.empty() : RowTable.findByLabel(key.substring(0, slash));
-        if (table.isPresent() && slash + 1 < key.length()) {
+        if (table.isPresent() && !key.substring(slash + 1).isBlank()) {
             return table.map(known -> new RowRef(known, key.substring(slash + 1)));
         }
         LOG.warn("skipping row {} of the store: its key does not name a known table", key);
@@ -79,16 +79,15 @@
         if (raw.value().isEmpty()) {
             return Optional.of(new StoredRow(ref, raw.version(), Optional.empty()));
         }
-        var content = RelayRows.decode(ref.table(), raw.value().get());
+        var content = RelayRows.decode(ref, raw.value().get());
         if (content.isLeft()) {
             LOG.warn(
-                    "skipping row {} of version {}, as it can't be decoded: {}",
+                    "row {} of version {} can't be decoded, what is known of it stays in force: {}",
                     raw.key(),
                     raw.version(),
                     content.getLeft().getMessage());
-            return Optional.empty();
+            return Optional.of(new StoredRow(ref, raw.version(), Optional.of(UnreadableRow.INSTANCE)));
         }
-        RowContent read = content.get();
-        return Optional.of(new StoredRow(ref, raw.version(), Optional.of(read)));
+        return Optional.of(new StoredRow(ref, raw.version(), Optional.of(content.get())));
     }
 }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/MetricsPage.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/MetricsPage.java
@@ -84,6 +84,8 @@
                 core.entry().repeatsLeft()));
         snapshots.metricSnapshot(
                 counter("log_lines_dropped", "Log lines that the full queue has dropped.", LogQueue.droppedLines()));
+        snapshots.metricSnapshot(
+                counter("errors", "Decisions and effects that failed with an unexpected error.", counts.errors()));
     }
 
     private static void addKeys(MetricSnapshots.Builder snapshots, KeyStatus keys) {
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/RequestCounts.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/RequestCounts.java
@@ -7,6 +7,8 @@
 /** Counts request ends and store calls, and records the durations of served requests. */
 public final class RequestCounts {
 
+    private long errors;
+
     /** Limit on the series of request ends: it bounds memory, as a manifest may name any number of routes. */
     private static final int MAX_END_SERIES = 2_000;
     /** The route label of requests that end after {@link #MAX_END_SERIES} is reached. */
@@ -96,4 +98,18 @@
     Map<StoreCallSeries, Long> storeCalls() {
         return storeCalls;
     }
+
+    /** Counts a decision or an effect that failed with an unexpected error. */
+    public void recordError() {
+        errors++;
+    }
+
+    /**
+     * Returns how many decisions and effects have failed with an unexpected error.
+     *
+     * @return the number since the start
+     */
+    public long errors() {
+        return errors;
+    }
 }
--- a/verbenamast-relay/src/test/java/org/verbenamast/relay/caller/CallerServerTest.java
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/caller/CallerServerTest.java
@@ -60,7 +60,7 @@
                     0,
                     () -> 0.5),
             TransitionListener.NONE);
-    private final RelayLoop loop = new RelayLoop(eventloop, core, this::run);
+    private final RelayLoop loop = new RelayLoop(eventloop, core, new RequestCounts(), this::run);
     private final PeerPool peers = new PeerPool(eventloop);
     private ServerSocket peer;
     private CallerServer server;
--- a/verbenamast-relay/src/test/java/org/verbenamast/relay/store/OperatorRowsTest.java
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/store/OperatorRowsTest.java
@@ -76,6 +76,19 @@
         assertThat(lastReported()).containsExactly(ZONE);
     }
 
+    @Test
+    void should_keep_to_the_other_rows_when_one_names_no_zone() {
+        // given
+        RawRow odd = new RawRow(
+                StoreMessage.OPERATORS_TABLE, StoreMessage.ZONE_OUT_KEY, 6, Optional.of(new byte[] {'{', '}'}));
+
+        // when
+        rows.applyAll(List.of(odd, zone(7, true)), 9);
+
+        // then
+        assertThat(lastReported()).containsExactly(ZONE);
+    }
+
     private final class RecordingObserver implements StoreObserver {
 
         @Override
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/relay/RelayFrames.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/relay/RelayFrames.java
@@ -246,8 +246,8 @@
     }
 
     /**
-     * Decodes rows that another node has written. Leaves out those that are no newer than the known ones, and those that
-     * can't be read, which are reported.
+     * Decodes rows that another node has written. Leaves out those that are no newer than the known ones, and those
+     * that can't be read, which are reported.
      *
      * @param message the message
      * @param known returns the newest version of a row that this node knows
@@ -278,7 +278,7 @@
             return Optional.of(new StoredRow(ref, row.getVersion(), Optional.empty()));
         }
         Either<WireException, RowContent> content =
-                RelayRows.decode(ref.table(), row.getValue().toByteArray());
+                RelayRows.decode(ref, row.getValue().toByteArray());
         content.peekLeft(refused);
         return content.toJavaOptional().map(read -> new StoredRow(ref, row.getVersion(), Optional.of(read)));
     }
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/relay/RelayRows.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/relay/RelayRows.java
@@ -10,7 +10,9 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.netty.util.NetUtil;
 import io.vavr.control.Either;
+import org.verbenamast.core.check.Checks;
 import org.verbenamast.core.keys.KeyAssignment;
 import org.verbenamast.core.keys.KeyLeaseRow;
 import org.verbenamast.core.keys.KeyMap;
@@ -21,7 +23,7 @@
 import org.verbenamast.core.roster.ServerIncarnation;
 import org.verbenamast.core.roster.ServerState;
 import org.verbenamast.core.rows.RowContent;
-import org.verbenamast.core.rows.RowTable;
+import org.verbenamast.core.rows.RowRef;
 import org.verbenamast.wire.WireException;
 
 /** The contents of rows in JSON. */
@@ -102,37 +104,66 @@
     /**
      * Decodes what a row holds.
      *
-     * @param table the row's table
+     * @param ref identifies the row
      * @param bytes the bytes
      * @return the content, or why it can't be read
      */
-    public static Either<WireException, RowContent> decode(RowTable table, byte[] bytes) {
+    public static Either<WireException, RowContent> decode(RowRef ref, byte[] bytes) {
         try {
             JsonNode node = MAPPER.readTree(bytes);
             return Either.right(
-                    switch (table) {
-                        case MEMBERS -> readMember(node);
+                    switch (ref.table()) {
+                        case MEMBERS -> readMember(node, ref.key());
                         case KEYS -> readMap(node);
                         case LEASES -> readLease(node);
                     });
         } catch (IOException | RuntimeException e) {
-            return Either.left(WireException.shouldBeReadableRow(table.label(), String.valueOf(e.getMessage())));
+            return Either.left(WireException.shouldBeReadableRow(ref.table().label(), String.valueOf(e.getMessage())));
         }
     }
 
-    private static Member readMember(JsonNode node) {
+    private static Member readMember(JsonNode node, String key) {
+        String name = node.required("node").asText();
+        if (!name.equals(key)) {
+            throw Checks.malformed("node", key, name);
+        }
         return new Member(
-                node.required("node").asText(),
-                Address.parse(node.required("peer").asText()),
+                name,
+                readAddress(node.required("peer")),
                 new Zone(node.required("zone").asText()),
                 node.required("service").asText(),
                 readLife(node.required("server")),
-                node.required("slots").asInt(),
+                readInt(node.required("slots")),
                 ServerState.valueOf(node.required("state").asText()));
     }
 
+    /** Reads an address whose host is an IP number, as the lookup of a name would block the event loop. */
+    private static Address readAddress(JsonNode node) {
+        Address address = Address.parse(node.asText());
+        if (!NetUtil.isValidIpV4Address(address.host())) {
+            throw Checks.malformed("peer", "an IP number and a port", address.toString());
+        }
+        return address;
+    }
+
+    private static int readInt(JsonNode node) {
+        if (!node.isInt()) {
+            throw Checks.malformed(
+                    "number", "a whole number of 32 bits", node.getNodeType().name());
+        }
+        return node.intValue();
+    }
+
+    private static long readLong(JsonNode node) {
+        if (!node.isIntegralNumber() || !node.canConvertToLong()) {
+            throw Checks.malformed(
+                    "number", "a whole number of 64 bits", node.getNodeType().name());
+        }
+        return node.longValue();
+    }
+
     private static ServerIncarnation readLife(JsonNode node) {
-        return new ServerIncarnation(node.required(0).asText(), node.required(1).asLong());
+        return new ServerIncarnation(node.required(0).asText(), readLong(node.required(1)));
     }
 
     private static KeyMap readMap(JsonNode node) {
@@ -141,14 +172,13 @@
         List<KeyAssignment> assignments = new ArrayList<>();
         for (JsonNode each : node.required("keys")) {
             assignments.add(new KeyAssignment(
-                    new KeyRange(each.required(0).asInt(), each.required(1).asInt()),
-                    lifeAt(lives, each.required(2).asInt()),
-                    each.required(3).asLong(),
+                    new KeyRange(readInt(each.required(0)), readInt(each.required(1))),
+                    lifeAt(lives, readInt(each.required(2))),
+                    readLong(each.required(3)),
                     each.required(4).asText(),
-                    lifeAt(lives, each.required(5).asInt())));
+                    lifeAt(lives, readInt(each.required(5)))));
         }
-        return new KeyMap(
-                node.required("service").asText(), node.required("lastEpoch").asLong(), assignments);
+        return new KeyMap(node.required("service").asText(), readLong(node.required("lastEpoch")), assignments);
     }
 
     private static Optional<ServerIncarnation> lifeAt(List<ServerIncarnation> lives, int index) {
@@ -158,7 +188,7 @@
     private static KeyLeaseRow readLease(JsonNode node) {
         return new KeyLeaseRow(
                 readLife(node.required("server")),
-                node.required("granter").asLong(),
-                node.required("renewal").asLong());
+                readLong(node.required("granter")),
+                readLong(node.required("renewal")));
     }
 }
