Admission: late requests wait only for what later ones leave over, and are refused at once otherwise

Cause: a request with no other server to ask was queued while the requests ahead of it fitted into 0.6 of its time.

Change: QueueDiscipline, a class of its own, orders the queue and estimates waits. A request that can't meet its objective, or will not by the time it gets a slot, is expected to get only the share of dispatches that others leave over, and is refused as FULL as soon as these will not come in time.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionController.java
@@ -1,7 +1,6 @@
 package org.verbenamast.core.admission;
 
 import java.util.Collections;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -41,13 +40,11 @@
     /** Longest wait when the sender has no other server to ask, as a ratio of the spare time until the deadline. */
     private static final double DEADLINE_WAIT_RATIO = 0.6;
 
-    /** Longest expected service time of a request that counts as short, as a ratio of the mean over all routes. */
-    private static final double SHORT_REQUEST_RATIO = 0.5;
-
     private final ChartInstances<Long, AdmissionEvent, AdmissionData, AdmissionInput> requests;
     private final AdmissionRules rules;
     private final ColdWindow coldWindow = new ColdWindow();
     private final ServiceTimes serviceTimes = new ServiceTimes();
+    private final QueueDiscipline discipline = new QueueDiscipline(serviceTimes);
     /** The queued requests by number, kept up to date by the transitions of the chart. */
     private final Map<Long, AdmissionRequest> queued = new LinkedHashMap<>();
 
@@ -156,7 +153,7 @@
                     : AdmissionInput.refused(refusal.get(), 0);
         }
         if (hasRoom(now) && queued.isEmpty()) {
-            coldWindow.recordDispatch(now);
+            recordDispatch(true, now);
             return AdmissionInput.of(AdmissionInput.Verdict.DISPATCH);
         }
         double waitMillis = expectedWaitMillis(request, now);
@@ -170,6 +167,11 @@
         return refusal == Refusal.NOT_OWNER && rules.isExpected(request.key().orElseThrow(), now);
     }
 
+    private void recordDispatch(boolean isLeftOver, long now) {
+        coldWindow.recordDispatch(now);
+        discipline.recordDispatch(isLeftOver);
+    }
+
     private Optional<Refusal> findRefusal(AdmissionRequest request, long now) {
         if (server.isEmpty() || !server.get().incarnation().equals(request.incarnation())) {
             return Optional.of(Refusal.WRONG_SERVER);
@@ -204,46 +206,23 @@
     }
 
     /**
-     * Returns how long a request is expected to wait, in milliseconds: until the requests that precede it have left
-     * slots free and, while the server is cold, have been dispatched at its limited rate.
+     * Returns how long a request is expected to wait, in milliseconds: until it gets a slot and, while the server is
+     * cold, until it and those before it have been dispatched at the limited rate.
      */
     private double expectedWaitMillis(AdmissionRequest request, long now) {
-        Comparator<AdmissionRequest> order = dispatchOrder(now);
-        long ahead = 0;
-        for (AdmissionRequest other : queued.values()) {
-            ahead += order.compare(other, request) <= 0 ? 1 : 0;
-        }
         double slotWaitMillis =
-                (ahead + 1) * serviceTimes.millis() / server.get().slots();
-        double coldWaitMillis = isCold(now) ? (ahead + 1) * 1_000 / server.get().coldPerSecond() : 0;
-        return Math.max(slotWaitMillis, coldWaitMillis);
+                discipline.waitMillis(request, queued.values(), server.get().slots(), now);
+        if (!isCold(now)) {
+            return slotWaitMillis;
+        }
+        int ahead = discipline.ahead(request, queued.values(), now).size();
+        return Math.max(slotWaitMillis, (ahead + 1) * 1_000 / server.get().coldPerSecond());
     }
 
     private double maxWaitMillis(AdmissionRequest request, long now) {
-        double serviceMillis = serviceTimes.millis(request.route());
-        double spareToObjective = millisLeft(request.objectiveAt(), now) - serviceMillis;
-        double spareToDeadline = millisLeft(request.deadlineAt(), now) - serviceMillis;
-        return request.lastChance() ? DEADLINE_WAIT_RATIO * spareToDeadline : OBJECTIVE_WAIT_RATIO * spareToObjective;
-    }
-
-    private static double millisLeft(long at, long now) {
-        return (double) (at - now) / Timing.NANOS_PER_MILLI;
-    }
-
-    private Comparator<AdmissionRequest> dispatchOrder(long now) {
-        return Comparator.comparingInt(AdmissionRequest::priority)
-                .thenComparing(request -> !canMeetObjective(request, now) && !isShort(request))
-                .thenComparingLong(
-                        request -> canMeetObjective(request, now) ? request.objectiveAt() : request.deadlineAt());
-    }
-
-    private boolean canMeetObjective(AdmissionRequest request, long now) {
-        return millisLeft(request.objectiveAt(), now) >= serviceTimes.millis(request.route());
-    }
-
-    /** Returns whether a request takes far less time than others, so that it delays them little if dispatched first. */
-    private boolean isShort(AdmissionRequest request) {
-        return serviceTimes.millis(request.route()) <= SHORT_REQUEST_RATIO * serviceTimes.millis();
+        return request.lastChance()
+                ? DEADLINE_WAIT_RATIO * discipline.spareMillis(request.deadlineAt(), request, now)
+                : OBJECTIVE_WAIT_RATIO * discipline.spareMillis(request.objectiveAt(), request, now);
     }
 
     /**
@@ -265,6 +244,7 @@
         }
         requests.fire(id, AdmissionEvent.FINISHED, AdmissionInput.NONE, now, effects);
         dispatchWaiting(now, effects);
+        refuseHopeless(now, effects);
     }
 
     /**
@@ -294,13 +274,26 @@
                         request.id(), AdmissionEvent.REJECTED, AdmissionInput.refused(refusal.get(), 0), now, effects);
             }
         }
+        refuseHopeless(now, effects);
         dispatchWaiting(now, effects);
     }
 
+    /** Refuses the queued requests that later ones keep overtaking until it is too late to answer them. */
+    private void refuseHopeless(long now, Effects effects) {
+        if (server.isEmpty() || queued.isEmpty()) {
+            return;
+        }
+        for (AdmissionRequest request :
+                discipline.hopeless(queued.values(), server.get().slots(), now)) {
+            AdmissionInput input = AdmissionInput.refused(Refusal.FULL, (long) expectedWaitMillis(request, now));
+            requests.fire(request.id(), AdmissionEvent.REJECTED, input, now, effects);
+        }
+    }
+
     private void dispatchWaiting(long now, Effects effects) {
         while (!queued.isEmpty() && hasRoom(now)) {
-            AdmissionRequest next = Collections.min(queued.values(), dispatchOrder(now));
-            coldWindow.recordDispatch(now);
+            AdmissionRequest next = Collections.min(queued.values(), discipline.order(now));
+            recordDispatch(discipline.isOvertaken(next, now), now);
             requests.fire(next.id(), AdmissionEvent.ROOM, AdmissionInput.NONE, now, effects);
         }
     }
