Keys: other nodes step in where the planner leaves keys without a fit destination

Cause: the node that plans may be refused by the store.

Change: KeyPlanner, taken out of KeyController. The nodes after the planner by name step in, 0.7 s apart, for keys without a destination or with one that, by the rows, may not receive requests; they neither balance nor judge by their own links who is lost. The row's version decides between two that plan at once.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyController.java
@@ -35,10 +35,6 @@
 
     /** Time between reviews, in nanoseconds; short compared with the seconds for which keys stay hot. */
     private static final long REVIEW_INTERVAL_NANOS = Timing.millisToNanos(250);
-    /** Time between plans that move keys, in nanoseconds; one heartbeat interval, so that moves can complete. */
-    private static final long BALANCE_INTERVAL_NANOS = Timing.millisToNanos(1_000);
-    /** Stabilization delay after the last change of the member count before keys are first assigned, in nanoseconds. */
-    private static final long FIRST_ASSIGNMENT_DELAY_NANOS = Timing.millisToNanos(1_500);
     /** Minimum grant duration, in milliseconds; a shorter grant would expire before the next heartbeat. */
     private static final long MIN_GRANT_MILLIS = 300;
 
@@ -54,6 +50,7 @@
     private final RowWriter mapWriter;
     private final LeaseWatchController leaseWatch;
     private final KeyDemand demand;
+    private final KeyPlanner planner;
     private final Set<ServerIncarnation> endedServers = new HashSet<>();
     private final long startedAt;
     private KeyGrantLedger grants;
@@ -61,9 +58,6 @@
     private long lastHeartbeatAt;
     private boolean cold;
     private long nextReview;
-    private long nextBalance;
-    private long membersChangedAt;
-    private int memberCount;
     private long maxGrantMillis = Long.MAX_VALUE;
 
     /**
@@ -87,6 +81,7 @@
         this.startedAt = self.startedAt();
         this.demand = new KeyDemand(service);
         this.hosts = new KeyHosts(node, service, roster, reachable);
+        this.planner = new KeyPlanner(hosts, demand);
         this.replica = Objects.requireNonNull(replica, "replica");
         this.keyLease = new KeyLeaseController(timings, service, self.nodeIncarnation(), listener);
         this.mapWriter = new RowWriter(StorePurpose.KEY_MAP, replica, this::requiredChanges, listener);
@@ -302,14 +297,6 @@
                         () -> onLoadReport(report, now));
     }
 
-    private void recordMemberCount(long now) {
-        int members = hosts.serving().size();
-        if (members != memberCount) {
-            memberCount = members;
-            membersChangedAt = now;
-        }
-    }
-
     /**
      * Watches the leases for owners that have ended beside this node or, if this node is the planner, that are lost.
      */
@@ -351,7 +338,7 @@
                 after = after.vacate(owner);
             }
         }
-        after = applyPlan(after, now);
+        after = planner.plan(after, now);
         if (after.equals(before)) {
             return List.of();
         }
@@ -359,24 +346,6 @@
         return changes;
     }
 
-    private KeyMap applyPlan(KeyMap map, long now) {
-        recordMemberCount(now);
-        boolean first = map.lastEpoch() == 0;
-        if (!hosts.isPlanner(now) || first && now - membersChangedAt < FIRST_ASSIGNMENT_DELAY_NANOS) {
-            return map;
-        }
-        List<Member> serving = hosts.presentMembers(now);
-        Set<ServerIncarnation> incarnations = new HashSet<>();
-        serving.forEach(member -> incarnations.add(member.incarnation()));
-        KeyMap kept = serving.isEmpty() ? map : map.withoutMovesTo(incarnation -> !incarnations.contains(incarnation));
-        boolean balance = now >= nextBalance;
-        KeyMap planned = demand.plan(serving, now).plan(kept, balance);
-        if (balance) {
-            nextBalance = now + BALANCE_INTERVAL_NANOS;
-        }
-        return planned;
-    }
-
     /**
      * Returns what this node owns and may grant, for the metrics page.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyHosts.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyHosts.java
@@ -54,6 +54,24 @@
         return planner(now).filter(member -> member.node().equals(node)).isPresent();
     }
 
+    /**
+     * Returns how many members come before this node when the planner is chosen: 0 if this node is the planner, -1 if
+     * its server may not receive requests, so that it can't be.
+     */
+    int rank(long now) {
+        int before = 0;
+        boolean serving = false;
+        for (Member member : serving()) {
+            boolean candidate = !isLost(member, now) && isReachable(member);
+            if (candidate && member.node().equals(node)) {
+                serving = true;
+            } else if (candidate && member.node().compareTo(node) < 0) {
+                before++;
+            }
+        }
+        return serving ? before : -1;
+    }
+
     private boolean isReachable(Member member) {
         return member.node().equals(node) || reachable.test(member);
     }
