Entry: the objective of a caller that returns counts from its first attempt

Change: CallerBudgets tells from the time that a caller still has how long it has tried; for requests with keys, the objective counts from then. Calls of backend servers have no key and begin with what is left of their parent's time.

--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerServer.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerServer.java
@@ -19,6 +19,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.verbenamast.core.entry.CallerBudgets;
 import org.verbenamast.core.entry.EntryEffect;
 import org.verbenamast.core.entry.EntryRequest;
 import org.verbenamast.core.keys.KeyRange;
@@ -58,6 +59,7 @@
     private final RequestLog log;
     private final Map<Long, CallerExchange> exchanges = new HashMap<>();
     private final Set<CallerConnection> connections = new HashSet<>();
+    private final CallerBudgets callerBudgets = new CallerBudgets();
     private boolean stopping;
     private boolean refusing;
     private long lastId;
@@ -190,17 +192,19 @@
     private void begin(CallerConnection connection, HttpRequest head, Route route, String attemptId) {
         long now = RelayLoop.now();
         String targetService = route.selectService(ThreadLocalRandom.current().nextDouble());
-        long deadlineMillis = Math.min(
-                parseNonNegative(head.headers().get(RequestFields.TIME_LEFT), DEFAULT_DEADLINE_MILLIS),
-                route.timeoutMillis());
+        long budgetMillis = parseNonNegative(head.headers().get(RequestFields.TIME_LEFT), DEFAULT_DEADLINE_MILLIS);
+        long deadlineMillis = Math.min(budgetMillis, route.timeoutMillis());
+        OptionalInt key = key(head, targetService);
+        // Calls of backend servers carry no key, and have what is left of their parent's time from the start.
+        long spentMillis = key.isPresent() ? callerBudgets.spentMillis(route.name(), budgetMillis) : 0;
         EntryRequest request = new EntryRequest(
                 ++lastId,
                 attemptId,
                 route,
                 targetService,
-                key(head, targetService),
+                key,
                 now,
-                now + Timing.millisToNanos(route.objectiveMillis()),
+                now + Timing.millisToNanos(route.objectiveMillis() - spentMillis),
                 now + Timing.millisToNanos(deadlineMillis));
         CallerExchange exchange = new CallerExchange(request, openFrame(head), connection, core, loop, pool, log);
         exchanges.put(request.id(), exchange);
