Servers that misbehave: endless parts, copies and broken-off answers over real sockets

Change: BackendCallTest drives a call against a server that sends a line, a head, chunk extensions or trailers without end, a body until the caller closes, copies of earlier answers whole and byte by byte, bytes after an answer, and answers that break off in seven places.

--- /dev/null
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/backend/BackendCallTest.java
@@ -0,0 +1,322 @@
+package org.verbenamast.relay.backend;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import io.activej.eventloop.Eventloop;
+import io.activej.promise.Promise;
+import io.netty.handler.codec.http.HttpResponse;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.verbenamast.core.admission.AdmissionRequest;
+import org.verbenamast.core.manifest.RequestKind;
+import org.verbenamast.core.model.Address;
+import org.verbenamast.core.node.Timing;
+import org.verbenamast.core.roster.ServerIncarnation;
+import org.verbenamast.relay.RelayLoop;
+import org.verbenamast.wire.generated.RelayOpen;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Calls to a backend server that misbehaves, over real sockets. */
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
+class BackendCallTest {
+
+    /** Far more than any head, line or trailer may have, in bytes; an endless answer is cut off there by the server. */
+    private static final int ENDLESS_BYTES = 4 * 1024 * 1024;
+
+    private static final int PIECE_BYTES = 8 * 1024;
+    private static final String OK = "HTTP/1.1 200 OK\r\nX-Verbenamast-Response-Signature: s\r\n";
+
+    /** What the server does with one request on a connection. */
+    private interface Script {
+        void answer(int number, OutputStream out) throws IOException;
+    }
+
+    private final Eventloop eventloop = Eventloop.builder().withCurrentThread().build();
+    private final List<Thread> threads = new ArrayList<>();
+    private final AtomicInteger connections = new AtomicInteger();
+    private final AtomicBoolean endedByCaller = new AtomicBoolean();
+    private ServerSocket listener;
+    private BackendPool pool;
+    private long lastId;
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private static String answer(String id, String body) {
+        return OK + "X-Verbenamast-Attempt-Id: " + id + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private void serve(Script script) throws IOException {
+        listener = new ServerSocket(0, 10, InetAddress.getByName("127.0.0.1"));
+        Thread acceptor = new Thread(() -> {
+            while (!listener.isClosed()) {
+                try {
+                    Socket socket = listener.accept();
+                    connections.incrementAndGet();
+                    Thread connection = new Thread(() -> serve(socket, script));
+                    threads.add(connection);
+                    connection.start();
+                } catch (IOException e) {
+                    return;
+                }
+            }
+        });
+        threads.add(acceptor);
+        acceptor.start();
+        pool = new BackendPool(eventloop, new Address("127.0.0.1", listener.getLocalPort()));
+    }
+
+    private void serve(Socket socket, Script script) {
+        try (socket) {
+            int number = 0;
+            while (readHead(socket)) {
+                script.answer(number++, socket.getOutputStream());
+                socket.getOutputStream().flush();
+            }
+        } catch (IOException e) {
+            endedByCaller.set(true);
+        }
+    }
+
+    private static boolean readHead(Socket socket) throws IOException {
+        int matched = 0;
+        while (matched < 4) {
+            int next = socket.getInputStream().read();
+            if (next < 0) {
+                return false;
+            }
+            matched = next == "\r\n\r\n".charAt(matched) ? matched + 1 : next == '\r' ? 1 : 0;
+        }
+        return true;
+    }
+
+    private static void writeEndlessly(OutputStream out, String piece) throws IOException {
+        byte[] block = bytes(piece.repeat(PIECE_BYTES / piece.length()));
+        for (long written = 0; written < ENDLESS_BYTES; written += block.length) {
+            out.write(block);
+        }
+        throw new AssertionError("the caller should have closed the connection");
+    }
+
+    /** One call and what its observer saw. */
+    private final class Call implements BackendCall.Observer {
+
+        private final String id = "attempt-" + ++lastId;
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private final BackendCall call;
+        private String end = "";
+
+        private Call() {
+            long now = RelayLoop.now();
+            AdmissionRequest request = new AdmissionRequest(
+                    lastId,
+                    id,
+                    "r",
+                    "stock",
+                    new ServerIncarnation("i-1", 1),
+                    RequestKind.SAFE,
+                    1,
+                    OptionalInt.empty(),
+                    true,
+                    now,
+                    now + Timing.millisToNanos(300),
+                    now + Timing.millisToNanos(2_000));
+            RelayOpen open = RelayOpen.newBuilder()
+                    .setMethod("GET")
+                    .setTarget("/")
+                    .setHost("h")
+                    .build();
+            this.call = new BackendCall(pool, request, open, this);
+        }
+
+        private Call run() {
+            eventloop.keepAlive(true);
+            eventloop.post(() -> {
+                call.begin();
+                call.endBody();
+            });
+            eventloop.run();
+            return this;
+        }
+
+        private void end(String how) {
+            end = how;
+            if (!"head".equals(how)) {
+                // Lets the loop read what else the server has sent before the next call.
+                eventloop.delay(20, eventloop::breakEventloop);
+            }
+        }
+
+        @Override
+        public void onUnsent() {
+            end("unsent");
+        }
+
+        @Override
+        public void onNotRun(boolean misdirected) {
+            end("not run");
+        }
+
+        @Override
+        public void onAnswerHead(HttpResponse head, long length) {
+            end("head");
+        }
+
+        @Override
+        public void onAnswerBody(byte[] bytes) {
+            if (body.size() < PIECE_BYTES) {
+                body.writeBytes(bytes);
+            } else if (end.equals("head")) {
+                call.close();
+                end("closed");
+            }
+        }
+
+        @Override
+        public void onAnswerEnd() {
+            end("answered");
+        }
+
+        @Override
+        public void onBroken() {
+            end("broken");
+        }
+
+        @Override
+        public Promise<Void> room() {
+            return Promise.complete();
+        }
+    }
+
+    @AfterEach
+    void stopServer() throws Exception {
+        pool.close();
+        listener.close();
+        for (Thread thread : List.copyOf(threads)) {
+            thread.join();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "x",
+                "HTTP/1.1 200 OK\r\nX-Odd: x\r\n|X-Odd: x\r\n",
+                "HTTP/1.1 200 OK\r\nX-Odd: x|x",
+                OK + "X-Verbenamast-Attempt-Id: attempt-1\r\nTransfer-Encoding: chunked\r\n\r\n5;|x",
+                OK + "X-Verbenamast-Attempt-Id: attempt-1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n|X-Odd: x\r\n",
+                OK + "X-Verbenamast-Attempt-Id: attempt-1\r\nTransfer-Encoding: chunked\r\n\r\n|0"
+            })
+    void should_close_the_connection_when_a_part_of_an_answer_never_ends(String script) throws IOException {
+        // given
+        int bar = script.indexOf('|');
+        serve((number, out) -> {
+            out.write(bytes(bar < 0 ? "" : script.substring(0, bar)));
+            writeEndlessly(out, script.substring(bar + 1));
+        });
+
+        // when
+        Call call = new Call().run();
+
+        // then
+        assertThat(call.end).isEqualTo("broken");
+        assertThat(call.body.size()).isLessThan(PIECE_BYTES);
+    }
+
+    @Test
+    void should_stop_an_endless_body_when_the_call_is_closed() throws Exception {
+        // given
+        serve((number, out) -> {
+            out.write(bytes(OK + "X-Verbenamast-Attempt-Id: attempt-1\r\n\r\n"));
+            writeEndlessly(out, "x");
+        });
+
+        // when
+        Call call = new Call().run();
+
+        // then
+        assertThat(call.end).isEqualTo("closed");
+        threads.get(1).join();
+        assertThat(endedByCaller).isTrue();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 7, 1_000_000})
+    void should_give_each_request_its_own_answer_when_the_server_sends_copies(int pieceBytes) throws IOException {
+        // given
+        serve((number, out) -> {
+            String copy = number == 0 ? "" : answer("attempt-" + number, "of the one before");
+            byte[] all = bytes(copy + answer("attempt-" + (number + 1), "own " + (number + 1)));
+            for (int from = 0; from < all.length; from += pieceBytes) {
+                out.write(all, from, Math.min(pieceBytes, all.length - from));
+                out.flush();
+            }
+        });
+
+        // then
+        for (int i = 1; i <= 5; i++) {
+            Call call = new Call().run();
+            assertThat(call.end).isEqualTo("answered");
+            assertThat(call.body.toString(StandardCharsets.UTF_8)).isEqualTo("own " + i);
+        }
+    }
+
+    @Test
+    void should_not_use_a_connection_again_when_bytes_came_after_the_answer() throws IOException {
+        // given
+        AtomicInteger answered = new AtomicInteger();
+        serve((number, out) -> {
+            int attempt = answered.incrementAndGet();
+            out.write(bytes(answer("attempt-" + attempt, "own " + attempt).repeat(2)));
+        });
+
+        // when
+        Call first = new Call().run();
+        Call second = new Call().run();
+
+        // then
+        assertThat(first.body.toString(StandardCharsets.UTF_8)).isEqualTo("own 1");
+        assertThat(second.body.toString(StandardCharsets.UTF_8)).isEqualTo("own 2");
+        assertThat(connections.get()).isEqualTo(2);
+    }
+
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "HTTP/1.1 2",
+                OK + "X-Verbenamast-Attempt-Id: attempt-1\r\nContent-Length: 5",
+                OK + "X-Verbenamast-Attempt-Id: attempt-1\r\nContent-Length: 50\r\n\r\nhalf",
+                OK + "X-Verbenamast-Attempt-Id: attempt-1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+                OK + "X-Verbenamast-Attempt-Id: attempt-1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n",
+                OK + "X-Verbenamast-Attempt-Id: attempt-1\r\nTransfer-Encoding: chunked\r\n\r\nodd\r\nhalf"
+            })
+    void should_never_complete_when_an_answer_breaks_off(String part) throws IOException {
+        // given
+        serve((number, out) -> {
+            out.write(bytes(part));
+            out.flush();
+            throw new IOException("the server ends the connection");
+        });
+
+        // then
+        assertThat(new Call().run().end).isEqualTo("broken");
+    }
+}
