--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/QueueDiscipline.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/QueueDiscipline.java
@@ -20,7 +20,7 @@
     private static final double SHORT_REQUEST_RATIO = 0.5;
     /** Weight of a dispatch in the share of dispatches left over, as a ratio; covers about the last thirty. */
     private static final double SMOOTHING_FACTOR = 0.03;
-    /** Smallest share of dispatches left over that is reckoned with, so that waits stay finite. */
+    /** Smallest share of dispatches left over that is assumed, so that waits stay finite. */
     private static final double MIN_LEFT_OVER = 0.01;
 
     private final ServiceTimes serviceTimes;
