--- a/review/standins/review/Crashing.java
+++ b/review/standins/review/Crashing.java
@@ -58,6 +58,7 @@
                 throw new IllegalStateException("crashed");
             }
             running.put(id, Integer.parseInt(instance.name));
+            instance.log("runs order " + id);
             Thread.sleep(120);
             running.remove(id);
             return Instance.Answer.ok("booked");
@@ -77,11 +78,10 @@
                         orders.incrementAndGet();
                         Requester.Got got = requester.send(
                                 "POST", Manifests.HOST, "/order/1", id, 2_500, "one slot".getBytes(), false);
-                        if (got.status() == 502 || got.status() == 504 || got.status() == 0) {
-                            unknown.incrementAndGet();
-                            fleet.record.add("requester", "order " + id + " at " + machine.node + " got " + got.status()
-                                    + " " + got.ended());
-                        }
+                        boolean isUnknown = got.status() == 502 || got.status() == 504 || got.status() == 0;
+                        unknown.addAndGet(isUnknown ? 1 : 0);
+                        fleet.record.add("requester", "sent order " + id + " at " + machine.node + ", got " + got.status()
+                                + " " + got.ended());
                     }
                 }
             });
--- a/review/standins/review/Fleet.java
+++ b/review/standins/review/Fleet.java
@@ -14,11 +14,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 /** A small deployment: machines with a node each, as the deploy file starts it, and stand-ins for all else. */
 final class Fleet implements AutoCloseable {
 
-    static final int BEAT_MILLIS = 870;
+    /** Pause between the check-ins of an instance, in milliseconds; the site of a case names it as heartbeatMs. */
+    static volatile int beatMillis = 870;
     static final int BROKEN = 1;
     static final int HELD = 0;
     static final int COULD_NOT_RUN = 2;
@@ -185,10 +187,6 @@
         machine.process = builder.start();
     }
 
-    Path log(Machine machine) {
-        return folder.resolve(machine.node + ".log");
-    }
-
     /** Starts all machines and waits until all nodes are ready and the instances are known. */
     void start(String manifest) throws Exception {
         for (Machine machine : machines) {
@@ -243,6 +241,7 @@
         return status;
     }
 
+    /** Ends all nodes and deletes their settings and logs. */
     @Override
     public void close() {
         for (Machine machine : machines) {
@@ -250,14 +249,22 @@
                 machine.process.destroyForcibly();
             }
         }
-        for (Machine machine : machines) {
-            try {
+        try {
+            for (Machine machine : machines) {
                 if (machine.process != null) {
                     machine.process.waitFor(5, TimeUnit.SECONDS);
                 }
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
             }
+            try (Stream<Path> files = Files.list(folder)) {
+                for (Path file : files.toList()) {
+                    Files.delete(file);
+                }
+            }
+            Files.delete(folder);
+        } catch (IOException e) {
+            System.err.println("can't delete " + folder + ": " + e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 }
--- a/review/standins/review/Instance.java
+++ b/review/standins/review/Instance.java
@@ -9,9 +9,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -62,8 +60,6 @@
     volatile String id;
     volatile boolean up;
     volatile boolean beating;
-    /** Whether the instance takes no connection: opening packets get no reply once its queue is full. */
-    volatile boolean silent;
     volatile long upSince;
     volatile Work work;
     private final Record record;
@@ -108,7 +104,7 @@
                 if (beating) {
                     checkIn("ready");
                 }
-                Thread.sleep(Fleet.BEAT_MILLIS);
+                Thread.sleep(Fleet.beatMillis);
             }
         });
     }
@@ -154,9 +150,6 @@
 
     private void accept(ServerSocket own) throws IOException {
         while (up) {
-            while (silent) {
-                Fleet.pause(20);
-            }
             Socket socket = own.accept();
             connections.add(socket);
             Fleet.run(() -> serve(socket));
@@ -221,10 +214,6 @@
         };
     }
 
-    List<Socket> connections() {
-        return new ArrayList<>(connections);
-    }
-
     void log(String text) {
         record.add(log, text);
     }
--- a/review/standins/review/KeyedInstance.java
+++ b/review/standins/review/KeyedInstance.java
@@ -67,7 +67,6 @@
     private final List<Object> freed = new ArrayList<>();
     private long heldUntil;
     private long handovers;
-    volatile int lastBytes;
 
     KeyedInstance(
             String name, String service, String zone, int port, String heartbeats, Record record, Work work,
@@ -201,7 +200,6 @@
         }
         try (var in = call.getInputStream()) {
             byte[] bytes = in.readAllBytes();
-            lastBytes = bytes.length;
             if (bytes.length > MAX_ANSWER_BYTES) {
                 log("the answer to its check-in has " + bytes.length + " bytes");
                 return null;
--- a/review/standins/review/OldCheckIn.java
+++ b/review/standins/review/OldCheckIn.java
@@ -12,6 +12,7 @@
  */
 final class OldCheckIn {
 
+    private static final int BEAT_MILLIS = 1_500;
     private static final int MOST_SHARED_MILLIS = 500;
     private static final int MANY_REQUESTERS = 18;
     private static final int FEW_REQUESTERS = 5;
@@ -29,13 +30,16 @@
     }
 
     private static int play(Path folder) throws Exception {
+        Fleet.beatMillis = BEAT_MILLIS;
         Fleet fleet = new Fleet(folder);
         Holdings holdings = new Holdings(fleet.record);
         AtomicInteger served = new AtomicInteger();
         AtomicInteger sent = new AtomicInteger();
         Instance.Work work = (instance, head, body) -> {
+            String key = head.field("X-Verbenamast-Shard-Key");
+            instance.log("runs " + head.field("X-Verbenamast-Attempt-Id") + " key " + key);
             Thread.sleep(90);
-            return Instance.Answer.ok("stock " + head.field("X-Verbenamast-Shard-Key"));
+            return Instance.Answer.ok("stock " + key);
         };
         for (int i = 0; i < 4; i++) {
             fleet.addKeyed("gudang", work, holdings);
@@ -52,12 +56,15 @@
                             Thread.sleep(20);
                             continue;
                         }
+                        String id = Requester.newId();
                         String key = String.valueOf(ThreadLocalRandom.current().nextInt(65_536));
                         sent.incrementAndGet();
                         Requester.Got got = requester.send(
-                                "GET", Manifests.HOST, "/stock/1", Requester.newId(), 2_000, new byte[0], false,
+                                "GET", Manifests.HOST, "/stock/1", id, 2_000, new byte[0], false,
                                 java.util.Map.of("X-Verbenamast-Shard-Key", key));
                         served.addAndGet(got.status() == 200 ? 1 : 0);
+                        fleet.record.add("requester", "sent " + id + " key " + key + ", got " + got.status() + " "
+                                + got.ended());
                         Thread.sleep(10);
                     }
                 }
--- a/review/standins/review/OtherWriter.java
+++ b/review/standins/review/OtherWriter.java
@@ -27,8 +27,10 @@
         AtomicInteger served = new AtomicInteger();
         AtomicInteger sent = new AtomicInteger();
         Instance.Work work = (instance, head, body) -> {
+            String key = head.field("X-Verbenamast-Shard-Key");
+            instance.log("runs " + head.field("X-Verbenamast-Attempt-Id") + " key " + key);
             Thread.sleep(90);
-            return Instance.Answer.ok("stock " + head.field("X-Verbenamast-Shard-Key"));
+            return Instance.Answer.ok("stock " + key);
         };
         for (int i = 0; i < 4; i++) {
             fleet.addKeyed("gudang", work, holdings);
@@ -39,12 +41,15 @@
             Fleet.run(() -> {
                 try (Requester requester = new Requester(machine.callers)) {
                     while (true) {
+                        String id = Requester.newId();
                         String key = String.valueOf(ThreadLocalRandom.current().nextInt(65_536));
                         sent.incrementAndGet();
                         Requester.Got got = requester.send(
-                                "GET", Manifests.HOST, "/stock/1", Requester.newId(), 2_000, new byte[0], false,
+                                "GET", Manifests.HOST, "/stock/1", id, 2_000, new byte[0], false,
                                 Map.of("X-Verbenamast-Shard-Key", key));
                         served.addAndGet(got.status() == 200 ? 1 : 0);
+                        fleet.record.add("requester", "sent " + id + " key " + key + ", got " + got.status() + " "
+                                + got.ended());
                         Thread.sleep(10);
                     }
                 }
