--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/backend/BackendCall.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/backend/BackendCall.java
@@ -84,7 +84,7 @@
     private boolean closed;
     private boolean skipping;
     private boolean refused;
-    private boolean closeAfterAnswer;
+    private boolean lastOnLink;
     private int answerStatus;
 
     /**
@@ -188,12 +188,13 @@
             fail();
             return;
         }
-        skipping = status <= LAST_INFORMATIONAL_STATUS || isOfEarlierRequest(head);
+        boolean ofEarlierRequest = isOfEarlierRequest(head);
+        lastOnLink |= ofEarlierRequest || !HttpUtil.isKeepAlive(head);
+        skipping = status <= LAST_INFORMATIONAL_STATUS || ofEarlierRequest;
         if (skipping) {
             return;
         }
         answerStatus = status;
-        closeAfterAnswer = !HttpUtil.isKeepAlive(head);
         refused = head.headers().contains(RequestFields.NOT_RUN) || status == MISDIRECTED_STATUS;
         if (refused) {
             return;
@@ -233,7 +234,7 @@
             return;
         }
         closed = true;
-        if (closeAfterAnswer || !bodySent) {
+        if (lastOnLink || !bodySent) {
             link.close();
         } else {
             link.release();
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/net/HttpCodec.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/net/HttpCodec.java
@@ -6,10 +6,10 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.LastHttpContent;
 
@@ -25,10 +25,10 @@
 
     private final EmbeddedChannel channel;
 
-    private HttpCodec(ChannelHandler codec) {
+    private HttpCodec(ChannelHandler... handlers) {
         this.channel = new EmbeddedChannel();
         channel.config().setAllocator(HEAP);
-        channel.pipeline().addLast(codec);
+        channel.pipeline().addLast(handlers);
     }
 
     /**
@@ -44,14 +44,15 @@
     /**
      * Creates the codec of a connection that receives responses.
      *
-     * @param maxHeadBytes the longest head that the codec accepts, in bytes
+     * @param decoder decodes the responses
      * @return the codec
      */
-    public static HttpCodec client(int maxHeadBytes) {
-        return new HttpCodec(new HttpClientCodec(config(maxHeadBytes), false, false));
+    static HttpCodec client(ResponseDecoder decoder) {
+        return new HttpCodec(new HttpRequestEncoder(), decoder);
     }
 
-    private static HttpDecoderConfig config(int maxHeadBytes) {
+    /** Returns the settings of a decoder that accepts heads of the given length, in bytes. */
+    static HttpDecoderConfig config(int maxHeadBytes) {
         return new HttpDecoderConfig()
                 .setMaxInitialLineLength(MAX_LINE_BYTES)
                 .setMaxHeaderSize(maxHeadBytes)
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/net/HttpLink.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/net/HttpLink.java
@@ -8,16 +8,22 @@
 import io.activej.reactor.Reactor;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.LastHttpContent;
 import org.verbenamast.core.model.Address;
 
-/** A client connection that carries one HTTP request at a time. */
+/**
+ * A client connection that carries one HTTP request at a time. Bytes that arrive while no response is due belong to no
+ * request, and the connection is not used any further: what follows them can't be told from them.
+ */
 public final class HttpLink implements AutoCloseable {
 
     /** Longest head of a response, in bytes. */
     private static final int MAX_HEAD_BYTES = 64 * 1024;
 
+    private static final byte[] NO_BYTES = {};
+
     /** Handles the response to the request in progress. */
     public interface Answers {
 
@@ -50,7 +56,8 @@
     }
 
     private final ITcpSocket socket;
-    private final HttpCodec codec = HttpCodec.client(MAX_HEAD_BYTES);
+    private final ResponseDecoder decoder = new ResponseDecoder(HttpCodec.config(MAX_HEAD_BYTES));
+    private final HttpCodec codec = HttpCodec.client(decoder);
     private final SocketWriter writer;
     private final SocketReader reader;
     private Answers handler;
@@ -93,9 +100,11 @@
      * @param head the head of the request, or a whole request
      * @param responseHandler handles the response
      */
-    public void begin(HttpObject head, Answers responseHandler) {
+    public void begin(HttpRequest head, Answers responseHandler) {
         handler = Objects.requireNonNull(responseHandler, "responseHandler");
         requestCount++;
+        decoder.setMethod(head.method());
+        decoder.resume();
         writer.write(codec.encode(head));
     }
 
@@ -141,6 +150,10 @@
     }
 
     private Promise<Void> decode(byte[] bytes) {
+        if (handler == null) {
+            end(false);
+            return Promise.complete();
+        }
         try {
             codec.received(bytes);
         } catch (RuntimeException e) {
@@ -153,8 +166,9 @@
     }
 
     private void deliver() {
-        for (HttpObject part = codec.next(); part != null; part = codec.next()) {
-            if (handler == null || part.decoderResult().isFailure()) {
+        for (HttpObject part = codec.next(); part != null && handler != null; part = codec.next()) {
+            if (part.decoderResult().isFailure()
+                    || part instanceof HttpResponse head && ResponseDecoder.isMerged(head)) {
                 end(false);
                 return;
             }
@@ -176,13 +190,28 @@
             if (last && handler != null) {
                 inResponse = false;
                 handler.onComplete();
+                resume();
             }
         }
     }
 
+    /** Continues with the response after an informational one, or after one that the handler has skipped. */
+    private void resume() {
+        if (handler == null) {
+            return;
+        }
+        decoder.resume();
+        if (decoder.hasUndecodedBytes()) {
+            codec.received(NO_BYTES);
+        }
+    }
+
     /** Detaches the handler after a complete response, so that the next request can begin. */
     public void release() {
         handler = null;
+        if (decoder.hasUndecodedBytes()) {
+            end(false);
+        }
     }
 
     private void end(boolean orderly) {
