--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
@@ -188,7 +188,7 @@
     }
 
     /**
-     * Handles a heartbeat from the server beside this node. Ignores it if it is of another service or outdated.
+     * Handles a heartbeat. Ignores it if it is not of the server beside this node, or outdated.
      *
      * @param heartbeat the heartbeat
      * @param now the monotonic time, in nanoseconds
@@ -197,7 +197,7 @@
      */
     public Optional<KeyGrant> onHeartbeat(Heartbeat heartbeat, long now, Effects effects) {
         Optional<ServerIncarnation> before = backend.incarnation();
-        if (!heartbeat.service().equals(settings.service()) || !backend.onHeartbeat(heartbeat, now)) {
+        if (!isOfServerHere(heartbeat) || !backend.onHeartbeat(heartbeat, now)) {
             return Optional.empty();
         }
         reportFormerIncarnation(before, heartbeat.incarnation(), now, effects);
@@ -207,6 +207,11 @@
         return grant;
     }
 
+    private boolean isOfServerHere(Heartbeat heartbeat) {
+        return heartbeat.service().equals(settings.service())
+                && heartbeat.address().equals(settings.server().toString());
+    }
+
     /** Reports the end of the incarnation before the current one, which may be known only from this node's row. */
     private void reportFormerIncarnation(
             Optional<ServerIncarnation> before, ServerIncarnation incarnation, long now, Effects effects) {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelaySettings.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelaySettings.java
@@ -15,6 +15,7 @@
  * @param incarnation the incarnation of the node, a number that no earlier incarnation had
  * @param zone the node's availability zone
  * @param service the service of the server beside it
+ * @param server where that server accepts requests
  * @param peer where it accepts connections from other nodes
  * @param leaseTimings the durations of key leases, which limit how long keys may be granted without the store
  * @param drainMillis how long a leaving server may still receive requests, in milliseconds
@@ -26,6 +27,7 @@
         long incarnation,
         Zone zone,
         String service,
+        Address server,
         Address peer,
         KeyLeaseTimings leaseTimings,
         long drainMillis,
@@ -37,6 +39,7 @@
         Checks.notBlank("node", node);
         Objects.requireNonNull(zone, "zone");
         Checks.notBlank("service", service);
+        Objects.requireNonNull(server, "server");
         Objects.requireNonNull(peer, "peer");
         Objects.requireNonNull(leaseTimings, "terms");
         Checks.positive("drainMillis", drainMillis);
--- a/verbenamast-core/src/test/java/org/verbenamast/core/relay/RelayCoreTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/relay/RelayCoreTest.java
@@ -1,10 +1,12 @@
 package org.verbenamast.core.relay;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 import org.verbenamast.core.chart.TransitionListener;
+import org.verbenamast.core.effect.Effect;
 import org.verbenamast.core.effect.Effects;
 import org.verbenamast.core.keys.KeyLeaseTimings;
 import org.verbenamast.core.manifest.Manifest;
@@ -12,6 +14,9 @@
 import org.verbenamast.core.model.Address;
 import org.verbenamast.core.model.Zone;
 import org.verbenamast.core.node.Timing;
+import org.verbenamast.core.roster.Heartbeat;
+import org.verbenamast.core.roster.ServerIncarnation;
+import org.verbenamast.core.roster.ServerState;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -26,6 +31,7 @@
                     7,
                     ZONE,
                     "stock",
+                    new Address("127.0.0.1", 2),
                     new Address("127.0.0.1", 1),
                     KeyLeaseTimings.DEFAULT,
                     2_000,
@@ -60,6 +66,28 @@
         assertThat(core.isReady()).isTrue();
     }
 
+    /** Guards against a server that lost its keys to an entry of another writer, which names no server beside this node. */
+    @Test
+    void should_ignore_a_heartbeat_when_it_is_not_of_the_server_beside_this_node() {
+        // given
+        List<Effect> effects = new ArrayList<>();
+        core.onSnapshot(List.of(), 3, now, NO_EFFECTS);
+
+        // when
+        core.onHeartbeat(heartbeat("stock", "127.0.0.1:3"), now, effects::add);
+        core.onHeartbeat(heartbeat("other", "127.0.0.1:2"), now, effects::add);
+
+        // then
+        assertThat(effects).isEmpty();
+        core.onHeartbeat(heartbeat("stock", "127.0.0.1:2"), now, effects::add);
+        assertThat(effects).isNotEmpty();
+    }
+
+    private static Heartbeat heartbeat(String service, String address) {
+        ServerIncarnation incarnation = new ServerIncarnation("i-1", 5);
+        return new Heartbeat(incarnation, service, address, 9, ServerState.READY, 0, 1, List.of(), List.of());
+    }
+
     @Test
     void should_serve_keys_for_a_grace_period_when_the_zone_is_evacuated() {
         // given
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
@@ -112,6 +112,7 @@
                 new SecureRandom().nextLong(1, Long.MAX_VALUE),
                 settings.zone(),
                 settings.service(),
+                settings.server(),
                 settings.peers(),
                 KeyLeaseTimings.DEFAULT,
                 settings.drainMillis(),
--- a/verbenamast-relay/src/test/java/org/verbenamast/relay/caller/CallerServerTest.java
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/caller/CallerServerTest.java
@@ -54,6 +54,7 @@
                     7,
                     ZONE,
                     "frontend",
+                    new Address("127.0.0.1", 2),
                     new Address("127.0.0.1", 1),
                     KeyLeaseTimings.DEFAULT,
                     2_000,
--- a/verbenamast-relay/src/test/java/org/verbenamast/relay/telemetry/MetricsPageTest.java
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/telemetry/MetricsPageTest.java
@@ -24,6 +24,7 @@
                     7,
                     new Zone("a"),
                     "stock",
+                    new Address("127.0.0.1", 2),
                     new Address("127.0.0.1", 1),
                     KeyLeaseTimings.DEFAULT,
                     2_000,
