--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionController.java
@@ -190,7 +190,7 @@
         if (keyed && !rules.isGranted(request.key().getAsInt(), now)) {
             return Optional.of(Refusal.NOT_OWNER);
         }
-        return rules.isSuspect(request.id()) ? Optional.of(Refusal.SUSPECT) : Optional.empty();
+        return rules.isSuspect(request.id(), now) ? Optional.of(Refusal.SUSPECT) : Optional.empty();
     }
 
     private boolean isCold(long now) {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionRules.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionRules.java
@@ -35,7 +35,8 @@
      * Returns whether a request is suspected of crashing servers.
      *
      * @param id the number under which the node keeps the request
+     * @param now the monotonic time, in nanoseconds
      * @return whether the request must not run
      */
-    boolean isSuspect(long id);
+    boolean isSuspect(long id, long now);
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/Refusal.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/Refusal.java
@@ -31,6 +31,11 @@
     /** The node beside the server could not be reached. */
     NODE_UNREACHED(true, true, 0);
 
+    /** Delay before a refused caller may retry when no server has reported an expected delay, in milliseconds. */
+    private static final long DEFAULT_RETRY_MILLIS = 300;
+    /** Delay before a request that crashes servers may be sent again, in milliseconds. */
+    private static final long SUSPECT_RETRY_MILLIS = 60_000;
+
     private final boolean otherServerMayServe;
     private final boolean viewOutdated;
     private final int countedSends;
@@ -69,6 +74,15 @@
         return this == NOT_OWNER || this == MISDIRECTED;
     }
 
+    /**
+     * Returns when a refused caller may retry if no server has reported an expected delay.
+     *
+     * @return the delay, in milliseconds
+     */
+    public long retryMillis() {
+        return this == SUSPECT ? SUSPECT_RETRY_MILLIS : DEFAULT_RETRY_MILLIS;
+    }
+
     /**
      * Returns how many sends to a server the refused attempt counts for the retry budget.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryAction.java
@@ -57,7 +57,7 @@
         @Override
         public EntryData apply(EntryData data, EntryInput input, long now, Effects effects) {
             long expected = data.retryAfterMillis();
-            long millis = expected == 0 ? DEFAULT_RETRY_MILLIS : Math.max(MIN_RETRY_MILLIS, expected);
+            long millis = expected == 0 ? input.refusal().retryMillis() : Math.max(MIN_RETRY_MILLIS, expected);
             effects.emit(new EntryEffect.Refuse(data.request().id(), input.refusal(), spreadRetryMillis(data, millis)));
             return data;
         }
@@ -87,8 +87,6 @@
         }
     };
 
-    /** Delay before a refused caller may retry when no server has reported an expected delay, in milliseconds. */
-    private static final long DEFAULT_RETRY_MILLIS = 300;
     /** Shortest retry delay that is sent to a caller, in milliseconds; a round trip to the caller. */
     private static final long MIN_RETRY_MILLIS = 50;
     /** Number of steps over which retry delays are spread, so that refused callers do not all retry at once. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryController.java
@@ -16,6 +16,8 @@
 import org.verbenamast.core.chart.Vocabulary;
 import org.verbenamast.core.chart.file.ChartReader;
 import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.gate.crash.CrashReportController;
+import org.verbenamast.core.gate.crash.Fingerprint;
 import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.model.Zone;
 import org.verbenamast.core.request.TokenBudget;
@@ -46,6 +48,7 @@
 
     private final ChartInstances<Long, EntryEvent, EntryData, EntryInput> requests;
     private final TargetSelector selector;
+    private final CrashReportController crashReports;
     private final MemberLoads loads = new MemberLoads();
     private final HealthController health;
     private final Map<String, TokenBudget> budgets = new HashMap<>();
@@ -56,12 +59,19 @@
      * @param zone the availability zone of this node
      * @param roster the members
      * @param replica this node's copy of the stored rows
+     * @param crashReports determines which requests crash servers
      * @param random a source of numbers that are evenly distributed from 0 (inclusive) to 1 (exclusive)
      * @param listener notified of each transition of a request
      */
     public EntryController(
-            Zone zone, Roster roster, RowReplica replica, DoubleSupplier random, TransitionListener listener) {
+            Zone zone,
+            Roster roster,
+            RowReplica replica,
+            CrashReportController crashReports,
+            DoubleSupplier random,
+            TransitionListener listener) {
         Objects.requireNonNull(listener, "listener");
+        this.crashReports = Objects.requireNonNull(crashReports, "crashReports");
         this.health = new HealthController(TransitionListener.NONE);
         this.selector = new TargetSelector(zone, roster, replica, loads, member -> !isReachable(member), random);
         this.requests = new ChartInstances<>(
@@ -93,15 +103,21 @@
     }
 
     /**
-     * Handles a new request: selects a server and opens the first attempt.
+     * Handles a new request: selects a server and opens the first attempt, or refuses it if it crashes servers.
      *
      * @param request the caller's request
+     * @param content the fingerprint of the request, or of its head if no suspected request has the same one
      * @param now the monotonic time, in nanoseconds
      * @param effects receives the effects
      */
-    public void onCallerRequest(EntryRequest request, long now, Effects effects) {
-        budget(request.service()).deposit();
+    public void onCallerRequest(EntryRequest request, Fingerprint content, long now, Effects effects) {
         requests.begin(request.id(), EntryData.initial(request), now);
+        if (crashReports.isStopped(content, now)) {
+            EntryInput refused = EntryInput.routed(Optional.empty(), true, Refusal.SUSPECT);
+            requests.fire(request.id(), EntryEvent.ROUTED, refused, now, effects);
+            return;
+        }
+        budget(request.service()).deposit();
         route(request.id(), now, effects);
     }
 
--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/crash/Fingerprint.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/crash/Fingerprint.java
@@ -31,9 +31,18 @@
         update(head, request.path());
         CRC32C body = new CRC32C();
         body.update(request.body().bytes());
+        return of(head, body);
+    }
+
+    static Fingerprint of(CRC32C head, CRC32C body) {
         return new Fingerprint((head.getValue() << HALF_BITS) | (body.getValue() & LOW_HALF));
     }
 
+    /** Returns the part of the fingerprint that does not depend on the body. */
+    int head() {
+        return (int) (value >>> HALF_BITS);
+    }
+
     private static void update(CRC32C hash, String part) {
         hash.update(part.getBytes(StandardCharsets.UTF_8));
         hash.update(0);
--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
@@ -1,7 +1,6 @@
 package org.verbenamast.core.relay;
 
 import java.util.Collection;
-import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -12,6 +11,7 @@
 import org.verbenamast.core.chart.TransitionListener;
 import org.verbenamast.core.effect.Effects;
 import org.verbenamast.core.entry.EntryController;
+import org.verbenamast.core.gate.crash.CrashReportController;
 import org.verbenamast.core.keys.KeyController;
 import org.verbenamast.core.keys.KeyControllerSettings;
 import org.verbenamast.core.keys.KeyGrant;
@@ -27,7 +27,6 @@
 import org.verbenamast.core.rows.RowRef;
 import org.verbenamast.core.rows.RowReplica;
 import org.verbenamast.core.rows.RowTable;
-import org.verbenamast.core.rows.RowWriter;
 import org.verbenamast.core.rows.StorePurpose;
 import org.verbenamast.core.rows.StoreResult;
 import org.verbenamast.core.rows.StoredRow;
@@ -50,12 +49,12 @@
     private final EntryController entry;
     private final AdmissionController admission;
     private final KeyController keys;
-    private final RowWriter memberRowWriter;
+    private final CrashReportController crashReports;
+    private final OwnRows ownRows;
     private final FollowController follow;
     private final Evacuation evacuation = new Evacuation();
     private final ActiveManifest manifest = new ActiveManifest();
     private long nextReportAt;
-    private boolean rosterRead;
 
     /**
      * Creates a node that knows no rows, no manifest and no server.
@@ -70,7 +69,8 @@
         this.follow = new FollowController(settings.random(), listener);
         this.backend = new BackendStateController(listener);
         this.serverStatuses = new ServerStatuses(backend, settings.drainMillis());
-        this.entry = new EntryController(settings.zone(), roster, replica, settings.random(), listener);
+        this.crashReports = new CrashReportController(settings.node(), replica, rows.suspects(), settings.random());
+        this.entry = new EntryController(settings.zone(), roster, replica, crashReports, settings.random(), listener);
         this.admission = new AdmissionController(this, listener);
         KeyControllerSettings keyed = new KeyControllerSettings(
                 settings.node(),
@@ -79,9 +79,7 @@
                 settings.leaseTimings(),
                 settings.startedAt());
         this.keys = new KeyController(keyed, roster, replica, entry::isReachable, listener);
-        OwnMemberRow ownRow = new OwnMemberRow(settings, replica, backend);
-        this.memberRowWriter = new RowWriter(
-                StorePurpose.MEMBERSHIP, replica, now -> rosterRead ? ownRow.wantedChanges() : List.of(), listener);
+        this.ownRows = new OwnRows(settings, replica, backend, crashReports, listener);
     }
 
     /**
@@ -179,8 +177,7 @@
      */
     public void onSnapshot(Collection<StoredRow> all, long version, long now, Effects effects) {
         rows.replica().applySnapshot(all, version);
-        if (!rosterRead) {
-            rosterRead = true;
+        if (ownRows.onSnapshot()) {
             backend.incarnation()
                     .ifPresent(current -> reportFormerIncarnation(Optional.empty(), current, now, effects));
         }
@@ -197,21 +194,17 @@
      */
     public Optional<KeyGrant> onHeartbeat(Heartbeat heartbeat, long now, Effects effects) {
         Optional<ServerIncarnation> before = backend.incarnation();
-        if (!isOfServerHere(heartbeat) || !backend.onHeartbeat(heartbeat, now)) {
+        if (!settings.isOfServerHere(heartbeat) || !backend.onHeartbeat(heartbeat, now)) {
             return Optional.empty();
         }
         reportFormerIncarnation(before, heartbeat.incarnation(), now, effects);
+        crashReports.onHeartbeat(heartbeat.incarnation(), now);
         Optional<KeyGrant> grant = isKeyed() ? keys.onHeartbeat(heartbeat, now, effects) : Optional.empty();
         updateAdmission(now, effects);
-        memberRowWriter.review(now, effects);
+        ownRows.review(now, effects);
         return grant;
     }
 
-    private boolean isOfServerHere(Heartbeat heartbeat) {
-        return heartbeat.service().equals(settings.service())
-                && heartbeat.address().equals(settings.server().toString());
-    }
-
     /** Reports the end of the incarnation before the current one, which may be known only from this node's row. */
     private void reportFormerIncarnation(
             Optional<ServerIncarnation> before, ServerIncarnation incarnation, long now, Effects effects) {
@@ -237,7 +230,7 @@
     public void onServerLeaving(String id, long now, Effects effects) {
         backend.onServerLeaving(id, now);
         updateAdmission(now, effects);
-        memberRowWriter.review(now, effects);
+        ownRows.review(now, effects);
     }
 
     private void updateAdmission(long now, Effects effects) {
@@ -258,7 +251,7 @@
             follow.onRowsReceived(FollowedTable.SHARED, committed.version(), now, effects);
         }
         if (purpose == StorePurpose.MEMBERSHIP) {
-            memberRowWriter.onStoreResult(callId, result, now, effects);
+            ownRows.onStoreResult(callId, result, now, effects);
         } else {
             keys.onStoreResult(purpose, callId, result, now, effects);
         }
@@ -275,11 +268,11 @@
         ServerState before = backend.state();
         backend.advance(now);
         if (backend.state() != before) {
+            crashReports.onServerUnreachable(now);
             updateAdmission(now, effects);
         }
         follow.advance(now, effects);
-        memberRowWriter.advance(now, effects);
-        memberRowWriter.review(now, effects);
+        ownRows.advance(now, effects);
         reportOwners(now, effects);
         entry.advance(now, effects);
         admission.advance(now, effects);
@@ -298,7 +291,7 @@
      * @return the monotonic time, in nanoseconds
      */
     public long nextDue() {
-        long due = Math.min(Math.min(backend.nextDue(), memberRowWriter.nextDue()), follow.nextDue());
+        long due = Math.min(Math.min(backend.nextDue(), ownRows.nextDue()), follow.nextDue());
         due = Math.min(due, Math.min(entry.nextDue(), admission.nextDue()));
         return isKeyed() ? Math.min(due, Math.min(keys.nextDue(), nextReportAt)) : due;
     }
@@ -319,8 +312,17 @@
     }
 
     @Override
-    public boolean isSuspect(long id) {
-        return false;
+    public boolean isSuspect(long id, long now) {
+        return crashReports.isStopped(id, now);
+    }
+
+    /**
+     * Returns the controller of requests that crash servers.
+     *
+     * @return the controller
+     */
+    public CrashReportController crashReports() {
+        return crashReports;
     }
 
     /**
@@ -338,7 +340,7 @@
      * @return whether the node is ready
      */
     public boolean isReady() {
-        return manifest.isKnown() && rosterRead;
+        return manifest.isKnown() && ownRows.isReplicaRead();
     }
 
     /**
--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelaySettings.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelaySettings.java
@@ -7,6 +7,7 @@
 import org.verbenamast.core.keys.KeyLeaseTimings;
 import org.verbenamast.core.model.Address;
 import org.verbenamast.core.model.Zone;
+import org.verbenamast.core.roster.Heartbeat;
 
 /**
  * The identity of a node and its settings.
@@ -45,4 +46,9 @@
         Checks.positive("drainMillis", drainMillis);
         Objects.requireNonNull(random, "random");
     }
+
+    /** Returns whether a heartbeat is of the server beside the node. */
+    boolean isOfServerHere(Heartbeat heartbeat) {
+        return heartbeat.service().equals(service) && heartbeat.address().equals(server.toString());
+    }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/SharedRows.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/SharedRows.java
@@ -4,6 +4,8 @@
 import java.util.Optional;
 import java.util.Set;
 
+import org.verbenamast.core.gate.crash.CrashReports;
+import org.verbenamast.core.gate.crash.ReportedSuspects;
 import org.verbenamast.core.roster.Member;
 import org.verbenamast.core.roster.Roster;
 import org.verbenamast.core.roster.ServerIncarnation;
@@ -11,10 +13,11 @@
 import org.verbenamast.core.rows.RowTable;
 import org.verbenamast.core.rows.StoredRow;
 
-/** The rows that all nodes share, and what follows from them: the roster of members and which key maps have changed. */
+/** The rows that all nodes share, and what follows from them: members, changed key maps, suspected requests. */
 final class SharedRows {
 
     private final Roster roster = new Roster();
+    private final ReportedSuspects suspects = new ReportedSuspects();
     private final RowReplica replica = new RowReplica(this::onRow);
     private final Set<String> changedKeyMaps = new HashSet<>();
 
@@ -28,6 +31,13 @@
                     .filter(Member.class::isInstance)
                     .ifPresentOrElse(content -> roster.put((Member) content), () -> roster.remove(key));
         }
+        if (row.ref().table() == RowTable.CRASHES) {
+            suspects.put(key, CrashReports.of(row));
+        }
+    }
+
+    ReportedSuspects suspects() {
+        return suspects;
     }
 
     Roster roster() {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/rows/RowContent.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/rows/RowContent.java
@@ -1,4 +1,4 @@
 package org.verbenamast.core.rows;
 
-/** The decoded content of a row: a member, a key map or a key lease. */
+/** The decoded content of a row: a member, a key map, a key lease or crash reports. */
 public interface RowContent {}
--- a/verbenamast-core/src/main/java/org/verbenamast/core/rows/RowTable.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/rows/RowTable.java
@@ -9,6 +9,8 @@
     MEMBERS("members", true),
     /** One row for each keyed service: who owns which keys. */
     KEYS("keys", true),
+    /** One row for each node whose backend server crashed: the requests that may have caused it. */
+    CRASHES("crashes", true),
     /** One row for each server incarnation that has keys: the lease under which they are granted. */
     LEASES("leases", false);
 
--- a/verbenamast-core/src/main/java/org/verbenamast/core/rows/StorePurpose.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/rows/StorePurpose.java
@@ -2,7 +2,7 @@
 
 /** The part of a node that made a call to the store, which receives the result. */
 public enum StorePurpose {
-    /** Writes the row of this node. */
+    /** Writes the rows of this node: what it is, and the crashes that it reports. */
     MEMBERSHIP,
     /** Renews the key lease under which this node grants keys. */
     TENURE,
--- a/verbenamast-core/src/test/java/org/verbenamast/core/admission/AdmissionControllerTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/admission/AdmissionControllerTest.java
@@ -40,7 +40,7 @@
         }
 
         @Override
-        public boolean isSuspect(long id) {
+        public boolean isSuspect(long id, long now) {
             return false;
         }
     }
--- a/verbenamast-core/src/test/java/org/verbenamast/core/admission/OverloadMeasureTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/admission/OverloadMeasureTest.java
@@ -56,7 +56,7 @@
         }
 
         @Override
-        public boolean isSuspect(long id) {
+        public boolean isSuspect(long id, long now) {
             return false;
         }
     };
--- a/verbenamast-core/src/test/java/org/verbenamast/core/entry/EntryControllerTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/entry/EntryControllerTest.java
@@ -10,6 +10,11 @@
 import org.verbenamast.core.admission.Refusal;
 import org.verbenamast.core.chart.TransitionListener;
 import org.verbenamast.core.effect.Effect;
+import org.verbenamast.core.gate.crash.CrashReport;
+import org.verbenamast.core.gate.crash.CrashReportController;
+import org.verbenamast.core.gate.crash.CrashReports;
+import org.verbenamast.core.gate.crash.Fingerprint;
+import org.verbenamast.core.gate.crash.ReportedSuspects;
 import org.verbenamast.core.keys.KeyMap;
 import org.verbenamast.core.keys.KeyRange;
 import org.verbenamast.core.manifest.RequestKind;
@@ -32,13 +37,17 @@
 class EntryControllerTest {
 
     private static final String SERVICE = "stock";
+    private static final Fingerprint CONTENT = new Fingerprint(1);
     private static final AdmissionLoad IDLE = new AdmissionLoad(0, 0, 9, 50, false, false);
 
     private final Roster roster = new Roster();
     private final RowReplica replica = new RowReplica(row -> {});
+    private final ReportedSuspects suspects = new ReportedSuspects();
+    private final CrashReportController crashReports =
+            new CrashReportController("node-a", replica, suspects, () -> 0.5);
     private final List<Effect> effects = new ArrayList<>();
     private final EntryController controller =
-            new EntryController(new Zone("a"), roster, replica, () -> 0.5, TransitionListener.NONE);
+            new EntryController(new Zone("a"), roster, replica, crashReports, () -> 0.5, TransitionListener.NONE);
     private long now = Timing.millisToNanos(1_000);
     private long lastId;
 
@@ -75,7 +84,7 @@
                 now,
                 now + Timing.millisToNanos(300),
                 now + Timing.millisToNanos(1_000));
-        controller.onCallerRequest(request, now, effects::add);
+        controller.onCallerRequest(request, CONTENT, now, effects::add);
         return id;
     }
 
@@ -305,4 +314,25 @@
         // then
         assertThat(nodesAsked()).contains(broken.node());
     }
+
+    /** Guards against a request that crashes each server that runs it, and was sent on for ever. */
+    @Test
+    void should_refuse_a_request_when_it_was_part_of_two_crashes() {
+        // given
+        join("node-a");
+        suspects.put("node-b", new CrashReports(List.of(new CrashReport("i-1@5", List.of(CONTENT)))));
+        open(RequestKind.UNSAFE, OptionalInt.empty());
+        assertThat(effects).hasOnlyElementsOfType(EntryEffect.OpenAttempt.class);
+        effects.clear();
+
+        // when
+        suspects.put("node-c", new CrashReports(List.of(new CrashReport("i-2@7", List.of(CONTENT)))));
+        open(RequestKind.UNSAFE, OptionalInt.empty());
+
+        // then
+        assertThat(effects).singleElement().isInstanceOfSatisfying(EntryEffect.Refuse.class, refused -> {
+            assertThat(refused.reason()).isEqualTo(Refusal.SUSPECT);
+            assertThat(refused.retryAfterMillis()).isGreaterThanOrEqualTo(60_000);
+        });
+    }
 }
--- a/verbenamast-it/src/main/java/org/verbenamast/it/bench/DecisionBenchmark.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/bench/DecisionBenchmark.java
@@ -24,6 +24,9 @@
 import org.verbenamast.core.effect.Effects;
 import org.verbenamast.core.entry.EntryController;
 import org.verbenamast.core.entry.EntryRequest;
+import org.verbenamast.core.gate.crash.CrashReportController;
+import org.verbenamast.core.gate.crash.Fingerprint;
+import org.verbenamast.core.gate.crash.ReportedSuspects;
 import org.verbenamast.core.keys.KeyLoad;
 import org.verbenamast.core.manifest.RequestKind;
 import org.verbenamast.core.manifest.Route;
@@ -54,6 +57,7 @@
     private static final int SLOTS = 9;
     private static final int KEYS_PER_REPORT = 50;
     private static final String SERVICE = "stock";
+    private static final Fingerprint CONTENT = new Fingerprint(1);
     private static final ServerIncarnation INCARNATION = new ServerIncarnation("i-1", 1);
     private static final Route ROUTE =
             new Route("r", "h", "/", RequestKind.SAFE, 60_000, 300, 1, 2, List.of(new Split(SERVICE, 1)));
@@ -76,7 +80,7 @@
         }
 
         @Override
-        public boolean isSuspect(long id) {
+        public boolean isSuspect(long id, long now) {
             return false;
         }
     };
@@ -102,7 +106,10 @@
                     SLOTS,
                     ServerState.READY));
         }
-        entry = new EntryController(new Zone("zone-0"), roster, replica, () -> 0.5, TransitionListener.NONE);
+        CrashReportController crashReports =
+                new CrashReportController("node-0", replica, new ReportedSuspects(), () -> 0.5);
+        entry = new EntryController(
+                new Zone("zone-0"), roster, replica, crashReports, () -> 0.5, TransitionListener.NONE);
         admission = new AdmissionController(RULES, TransitionListener.NONE);
         admission.onServerStatus(Optional.of(new ServerStatus(INCARNATION, SERVICE, SLOTS, 0, 0, 0)), now, IGNORED);
         while (admission.load(now).queued() < QUEUED) {
@@ -147,6 +154,7 @@
                         now,
                         now + Timing.millisToNanos(300),
                         now + Timing.millisToNanos(2_000)),
+                CONTENT,
                 now,
                 IGNORED);
         entry.onCallerGone(id, now, IGNORED);
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
@@ -8,6 +8,7 @@
 import org.verbenamast.core.admission.Refusal;
 import org.verbenamast.core.entry.EntryEffect;
 import org.verbenamast.core.entry.EntryRequest;
+import org.verbenamast.core.gate.crash.FingerprintDigest;
 import org.verbenamast.core.node.Timing;
 import org.verbenamast.core.relay.RelayCore;
 import org.verbenamast.core.watch.StoreVersions;
@@ -42,6 +43,8 @@
     private RelayAttempt attempt;
     private RelayAnswer answer;
     private AdmissionLoad load;
+    private final FingerprintDigest content;
+    private boolean opened;
     private boolean replayable = true;
     private boolean accepted;
     private boolean bodyEnded;
@@ -66,18 +69,26 @@
         this.loop = Objects.requireNonNull(loop, "loop");
         this.pool = Objects.requireNonNull(pool, "pool");
         this.log = Objects.requireNonNull(log, "log");
+        this.content = new FingerprintDigest(head.getCallerService(), head.getTarget());
     }
 
     EntryRequest request() {
         return request;
     }
 
+    /** Has the request decided on, once its body is known if that matters. */
     void open() {
-        loop.run((now, effects) -> core.entry().onCallerRequest(request, now, effects));
+        boolean bodyMatters =
+                !bodyEnded && !content.isFull() && core.crashReports().mayBeSuspect(content.fingerprint());
+        if (!opened && !bodyMatters) {
+            opened = true;
+            loop.run((now, effects) -> core.entry().onCallerRequest(request, content.fingerprint(), now, effects));
+        }
     }
 
     /** Buffers a piece of the request's body if it may be replayed, and sends it to the current attempt. */
     void body(byte[] bytes) {
+        content.update(bytes);
         if (replayable && (!accepted || replayBuffer.size() + bytes.length <= MAX_REPLAY_BYTES)) {
             replayBuffer.writeBytes(bytes);
         } else {
@@ -86,10 +97,12 @@
         if (attempt != null && attempt.connected()) {
             attempt.body(bytes);
         }
+        open();
     }
 
     void endBody() {
         bodyEnded = true;
+        open();
         if (attempt != null && attempt.connected()) {
             attempt.endBody();
         }
@@ -265,6 +278,7 @@
 
     void onDelivered() {
         log.recordEnd(RequestEnd.answered(request.attemptId(), request.route().name(), elapsed()), () -> logFields(0));
+        core.crashReports().onAnswered(content.fingerprint(), RelayLoop.now());
         loop.run((now, effects) -> core.entry().onDelivered(request.id(), now, effects));
     }
 
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/AdmissionExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/AdmissionExchange.java
@@ -8,6 +8,7 @@
 import org.verbenamast.core.admission.AdmissionLoad;
 import org.verbenamast.core.admission.AdmissionRequest;
 import org.verbenamast.core.admission.Refusal;
+import org.verbenamast.core.gate.crash.FingerprintDigest;
 import org.verbenamast.core.node.Timing;
 import org.verbenamast.relay.RelayLoop;
 import org.verbenamast.relay.backend.BackendCall;
@@ -31,6 +32,7 @@
     private final AdmissionRequest request;
     private final RelayOpen open;
     private final BackendCall call;
+    private final FingerprintDigest content;
     private final GateServer server;
     private boolean ended;
 
@@ -40,13 +42,20 @@
         this.open = Objects.requireNonNull(open, "open");
         this.server = Objects.requireNonNull(server, "server");
         this.call = new BackendCall(pool, request, open, this);
+        this.content = new FingerprintDigest(open.getCallerService(), open.getTarget());
     }
 
     long id() {
         return request.id();
     }
 
+    /** Returns what identifies the request, as far as its body has arrived. */
+    FingerprintDigest content() {
+        return content;
+    }
+
     void body(byte[] bytes) {
+        content.update(bytes);
         call.body(bytes);
     }
 
@@ -132,6 +141,7 @@
 
     @Override
     public void onUnsent() {
+        server.serverUnreachable();
         server.requestFinished(request.id(), false);
         refuse(Refusal.UNREACHABLE, 0);
     }
@@ -159,6 +169,7 @@
 
     @Override
     public void onAnswerEnd() {
+        server.requestAnswered(request.id());
         server.requestFinished(request.id(), true);
         server.log()
                 .recordEnd(
@@ -168,6 +179,7 @@
 
     @Override
     public void onBroken() {
+        server.connectionLost(request);
         server.requestFinished(request.id(), false);
         log("broken", "connection to the server lost or answer unusable", 0);
         fail();
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateServer.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateServer.java
@@ -100,7 +100,7 @@
             exchange.refuse(refuse.reason(), refuse.retryAfterMillis());
         } else if (effect instanceof AdmissionEffect.Cancel) {
             exchange.abandon();
-            exchanges.remove(effect.id());
+            exchangeEnded(exchange);
         } else if (effect instanceof AdmissionEffect.CancelOverdue) {
             exchange.overdue();
         }
@@ -122,8 +122,21 @@
         loop.run((now, effects) -> core.admission().onFinished(id, answered, now, effects));
     }
 
+    void serverUnreachable() {
+        core.crashReports().onServerUnreachable(RelayLoop.now());
+    }
+
+    void requestAnswered(long id) {
+        core.crashReports().onAnswered(id, RelayLoop.now());
+    }
+
+    void connectionLost(AdmissionRequest request) {
+        core.crashReports().onConnectionLost(request.id(), request.incarnation());
+    }
+
     void exchangeEnded(AdmissionExchange exchange) {
         exchanges.remove(exchange.id());
+        core.crashReports().onEnded(exchange.id());
     }
 
     @Override
@@ -175,6 +188,7 @@
         private void open(AdmissionRequest request, RelayOpen open) {
             exchange = new AdmissionExchange(link, request, open, pool, GateServer.this);
             exchanges.put(request.id(), exchange);
+            core.crashReports().onArrived(request.id(), exchange.content());
             if (request.key().isPresent()) {
                 core.keys().recordRequest(request.key().getAsInt());
             }
@@ -206,9 +220,9 @@
         public void onEnd() {
             links.remove(link);
             if (exchange != null) {
-                long id = exchange.id();
-                loop.run((now, effects) -> core.admission().onWithdrawn(id, now, effects));
-                exchanges.remove(id);
+                AdmissionExchange withdrawn = exchange;
+                loop.run((now, effects) -> core.admission().onWithdrawn(withdrawn.id(), now, effects));
+                exchangeEnded(withdrawn);
             }
         }
 
--- a/verbenamast-relay/src/test/java/org/verbenamast/relay/caller/CallerServerTest.java
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/caller/CallerServerTest.java
@@ -17,6 +17,9 @@
 import org.verbenamast.core.chart.TransitionListener;
 import org.verbenamast.core.effect.Effect;
 import org.verbenamast.core.entry.EntryEffect;
+import org.verbenamast.core.gate.crash.CrashReport;
+import org.verbenamast.core.gate.crash.CrashReports;
+import org.verbenamast.core.gate.crash.FingerprintDigest;
 import org.verbenamast.core.keys.KeyLeaseTimings;
 import org.verbenamast.core.manifest.Manifest;
 import org.verbenamast.core.manifest.RequestKind;
@@ -157,6 +160,35 @@
         assertThat(caller.getInputStream().read()).isEqualTo(-1);
     }
 
+    @Test
+    void should_wait_for_the_body_and_refuse_when_a_request_may_be_one_that_crashes_servers() throws IOException {
+        // given
+        FingerprintDigest poison = new FingerprintDigest("frontend", "/items");
+        poison.update(new byte[] {'x'});
+        CrashReport report = new CrashReport("stock-1@1", List.of(poison.fingerprint()));
+        addOneServer();
+        for (String node : List.of("node-1", "node-2")) {
+            StoredRow row = new StoredRow(
+                    new RowRef(RowTable.CRASHES, node), 2, Optional.of(new CrashReports(List.of(report))));
+            core.onRows(List.of(row), RelayLoop.now(), effect -> {});
+        }
+
+        // when
+        send("POST /items HTTP/1.1\r\nHost: shop\r\n" + RequestFields.ATTEMPT_ID + ": 1\r\nContent-Length: 1\r\n\r\n");
+        runUntil(() -> !server.idle());
+        assertThat(core.entry().isIdle()).isTrue();
+        send("x");
+        runUntil(() -> received("HTTP/1.1 503".length()));
+
+        // then
+        byte[] answer =
+                caller.getInputStream().readNBytes(caller.getInputStream().available());
+        assertThat(new String(answer, StandardCharsets.ISO_8859_1))
+                .startsWith("HTTP/1.1 503")
+                .containsPattern("(?i)retry-after: [6-9][0-9]|(?i)retry-after: 1[0-2][0-9]");
+        assertThat(server.idle()).isTrue();
+    }
+
     @Test
     void should_be_idle_after_the_only_answer_was_cut_off() throws IOException {
         // given
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/relay/RelayRows.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/relay/RelayRows.java
@@ -13,6 +13,9 @@
 import io.netty.util.NetUtil;
 import io.vavr.control.Either;
 import org.verbenamast.core.check.Checks;
+import org.verbenamast.core.gate.crash.CrashReport;
+import org.verbenamast.core.gate.crash.CrashReports;
+import org.verbenamast.core.gate.crash.Fingerprint;
 import org.verbenamast.core.keys.KeyAssignment;
 import org.verbenamast.core.keys.KeyLeaseRow;
 import org.verbenamast.core.keys.KeyMap;
@@ -46,6 +49,8 @@
             writeMember(node, member);
         } else if (content instanceof KeyMap map) {
             writeMap(node, map);
+        } else if (content instanceof CrashReports reports) {
+            writeReports(node.putArray("reports"), reports);
         } else {
             writeLease(node, (KeyLeaseRow) content);
         }
@@ -95,6 +100,13 @@
         return lives.indexOf(life.get());
     }
 
+    private static void writeReports(ArrayNode node, CrashReports reports) {
+        for (CrashReport report : reports.reports()) {
+            ArrayNode suspects = node.addObject().put("server", report.server()).putArray("suspects");
+            report.suspects().forEach(suspect -> suspects.add(suspect.value()));
+        }
+    }
+
     private static void writeLease(ObjectNode node, KeyLeaseRow lease) {
         writeLife(node.putArray("server"), lease.incarnation());
         node.put("granter", lease.granter());
@@ -115,6 +127,7 @@
                     switch (ref.table()) {
                         case MEMBERS -> readMember(node, ref.key());
                         case KEYS -> readMap(node);
+                        case CRASHES -> readReports(node);
                         case LEASES -> readLease(node);
                     });
         } catch (IOException | RuntimeException e) {
@@ -185,6 +198,16 @@
         return index == NOBODY ? Optional.empty() : Optional.of(lives.get(index));
     }
 
+    private static CrashReports readReports(JsonNode node) {
+        List<CrashReport> reports = new ArrayList<>();
+        for (JsonNode each : node.required("reports")) {
+            List<Fingerprint> suspects = new ArrayList<>();
+            each.required("suspects").forEach(suspect -> suspects.add(new Fingerprint(readLong(suspect))));
+            reports.add(new CrashReport(each.required("server").asText(), suspects));
+        }
+        return new CrashReports(reports);
+    }
+
     private static KeyLeaseRow readLease(JsonNode node) {
         return new KeyLeaseRow(
                 readLife(node.required("server")),
--- a/verbenamast-wire/src/test/java/org/verbenamast/wire/relay/RelayFramesTest.java
+++ b/verbenamast-wire/src/test/java/org/verbenamast/wire/relay/RelayFramesTest.java
@@ -11,6 +11,9 @@
 import org.verbenamast.core.admission.AdmissionRequest;
 import org.verbenamast.core.admission.Refusal;
 import org.verbenamast.core.entry.EntryRequest;
+import org.verbenamast.core.gate.crash.CrashReport;
+import org.verbenamast.core.gate.crash.CrashReports;
+import org.verbenamast.core.gate.crash.Fingerprint;
 import org.verbenamast.core.keys.KeyLeaseRow;
 import org.verbenamast.core.keys.KeyLoadReport;
 import org.verbenamast.core.keys.KeyMap;
@@ -123,6 +126,11 @@
                 new StoredRow(new RowRef(RowTable.MEMBERS, "node-1"), 4, Optional.of(MEMBER)),
                 new StoredRow(new RowRef(RowTable.KEYS, "stock"), 5, Optional.of(map)),
                 new StoredRow(new RowRef(RowTable.LEASES, "i-1@77"), 6, Optional.of(new KeyLeaseRow(LIFE, 8, 2))),
+                new StoredRow(
+                        new RowRef(RowTable.CRASHES, "node-1"),
+                        6,
+                        Optional.of(new CrashReports(List.of(new CrashReport(
+                                "i-1@77", List.of(new Fingerprint(-5), new Fingerprint(Long.MAX_VALUE))))))),
                 new StoredRow(new RowRef(RowTable.MEMBERS, "node-2"), 7, Optional.empty()));
         List<WireException> refused = new ArrayList<>();
 
