--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryAction.java
@@ -36,6 +36,13 @@
             return data.withUncertainSend();
         }
     },
+    /** Records that the request can't be sent again, as its body is not complete any more. */
+    RECORD_BODY_DROPPED {
+        @Override
+        public EntryData apply(EntryData data, EntryInput input, long now, Effects effects) {
+            return data.withoutBody();
+        }
+    },
     /** Withdraws the open attempt. */
     WITHDRAW {
         @Override
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryController.java
@@ -225,11 +225,10 @@
      *
      * @param id the request's number
      * @param linkLost whether the connection to the other node broke
-     * @param replayable whether this node still has the complete request body
      * @param now the monotonic time, in nanoseconds
      * @param effects receives the effects
      */
-    public void onBroken(long id, boolean linkLost, boolean replayable, long now, Effects effects) {
+    public void onBroken(long id, boolean linkLost, long now, Effects effects) {
         Instance<EntryData> instance = requests.find(id);
         if (instance == null) {
             return;
@@ -237,12 +236,7 @@
         if (linkLost) {
             health.onEvent(healthIdOf(instance.data().target().orElseThrow()), HealthEvent.FAILED, now);
         }
-        fire(
-                id,
-                EntryEvent.BROKEN,
-                EntryInput.answered(true, replayable && trySpendRepeat(instance.data())),
-                now,
-                effects);
+        fire(id, EntryEvent.BROKEN, EntryInput.answered(true, trySpendRepeat(instance.data())), now, effects);
     }
 
     /** Pays for sending a request again, if it may run twice, and returns whether the budget allowed it. */
@@ -250,18 +244,28 @@
         return data.isRepeatable() && budget(data.request().service()).trySpend();
     }
 
+    /**
+     * Handles that this node no longer has the beginning of a request's body, so that it can't be sent again.
+     *
+     * @param id the request's number
+     * @param now the monotonic time, in nanoseconds
+     * @param effects receives the effects
+     */
+    public void onBodyDropped(long id, long now, Effects effects) {
+        requests.fire(id, EntryEvent.BODY_DROPPED, EntryInput.NONE, now, effects);
+    }
+
     /**
      * Handles the answer of a server once it is complete, or once it has filled the buffer that precedes the delivery
      * to the caller.
      *
      * @param id the request's number
      * @param failed whether the answer reports a failure of the server
-     * @param replayable whether this node still has the complete request body
      * @param load the current load of the server
      * @param now the monotonic time, in nanoseconds
      * @param effects receives the effects
      */
-    public void onAnswer(long id, boolean failed, boolean replayable, AdmissionLoad load, long now, Effects effects) {
+    public void onAnswer(long id, boolean failed, AdmissionLoad load, long now, Effects effects) {
         Instance<EntryData> instance = requests.find(id);
         if (instance == null) {
             return;
@@ -269,7 +273,7 @@
         Member member = instance.data().target().orElseThrow();
         loads.onLoadReport(member.node(), load, now);
         health.onEvent(healthIdOf(member), HealthEvent.SUCCEEDED, now);
-        boolean withinBudget = failed && replayable && trySpendRepeat(instance.data());
+        boolean withinBudget = failed && trySpendRepeat(instance.data());
         fire(id, EntryEvent.ANSWERED, EntryInput.answered(failed, withinBudget), now, effects);
     }
 
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryData.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryData.java
@@ -20,6 +20,7 @@
  * @param refusal the reason of the last refusal
  * @param retryAfterMillis the shortest time until a server expects to have room, in milliseconds; 0 if unknown
  * @param mayHaveRun whether an attempt ended without a sign that the request has not run
+ * @param isReplayable whether this node still has all of the request's body that has arrived
  * @param pauseRequired whether to wait before the owner of the key is asked again
  */
 public record EntryData(
@@ -31,6 +32,7 @@
         Refusal refusal,
         long retryAfterMillis,
         boolean mayHaveRun,
+        boolean isReplayable,
         boolean pauseRequired) {
 
     /** Checks the fields and copies the set. */
@@ -42,7 +44,7 @@
     }
 
     static EntryData initial(EntryRequest request) {
-        return new EntryData(request, Optional.empty(), Set.of(), 0, 0, Refusal.NO_SERVER, 0, false, false);
+        return new EntryData(request, Optional.empty(), Set.of(), 0, 0, Refusal.NO_SERVER, 0, false, true, false);
     }
 
     EntryData withOpenedAttempt(Member member) {
@@ -55,6 +57,7 @@
                 refusal,
                 retryAfterMillis,
                 mayHaveRun,
+                isReplayable,
                 false);
     }
 
@@ -69,6 +72,7 @@
                 reason,
                 earliest,
                 mayHaveRun,
+                isReplayable,
                 true);
     }
 
@@ -83,12 +87,36 @@
                 refusal,
                 retryAfterMillis,
                 true,
+                isReplayable,
                 false);
     }
 
     EntryData withoutPause() {
         return new EntryData(
-                request, target, triedNodes, serverSends, openedAttempts, refusal, retryAfterMillis, mayHaveRun, false);
+                request,
+                target,
+                triedNodes,
+                serverSends,
+                openedAttempts,
+                refusal,
+                retryAfterMillis,
+                mayHaveRun,
+                isReplayable,
+                false);
+    }
+
+    EntryData withoutBody() {
+        return new EntryData(
+                request,
+                target,
+                triedNodes,
+                serverSends,
+                openedAttempts,
+                refusal,
+                retryAfterMillis,
+                mayHaveRun,
+                false,
+                pauseRequired);
     }
 
     private Set<String> triedNodesAndTarget() {
@@ -102,9 +130,9 @@
         return serverSends + 1 < request.route().maxAttempts();
     }
 
-    /** Returns whether the request may run again even if an earlier attempt has run. */
+    /** Returns whether the request can be sent again and may run again even if an earlier attempt has run. */
     boolean isRepeatable() {
-        return request.route().kind().isRepeatable() && hasSendsLeft();
+        return isReplayable && request.route().kind().isRepeatable() && hasSendsLeft();
     }
 
     boolean isKeyed() {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryEvent.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryEvent.java
@@ -10,6 +10,8 @@
     UNREACHED,
     /** The connection broke after the request was sent, or the answer was unusable; the request may have run. */
     BROKEN,
+    /** This node no longer has the beginning of the request's body. */
+    BODY_DROPPED,
     /** The server's answer is complete, or has filled the buffer that precedes the delivery to the caller. */
     ANSWERED,
     /** The caller has received the complete answer. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryGuard.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryGuard.java
@@ -31,7 +31,7 @@
             boolean allowed = !reachedServer || input.withinBudget() && data.hasSendsLeft();
             boolean otherNode = input.refusal().otherServerMayServe() && !data.isKeyed()
                     || data.isKeyed() && input.refusal().viewOutdated();
-            return allowed && otherNode && data.openedAttempts() < MAX_OPENED_ATTEMPTS;
+            return data.isReplayable() && allowed && otherNode && data.openedAttempts() < MAX_OPENED_ATTEMPTS;
         }
     },
     /** An earlier attempt may have run, so the caller must not receive a reply that the request has not run. */
--- a/verbenamast-core/src/test/java/org/verbenamast/core/entry/EntryControllerTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/entry/EntryControllerTest.java
@@ -6,6 +6,8 @@
 import java.util.OptionalInt;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.verbenamast.core.admission.AdmissionLoad;
 import org.verbenamast.core.admission.Refusal;
 import org.verbenamast.core.chart.TransitionListener;
@@ -121,7 +123,7 @@
         long id = open(RequestKind.UNSAFE, OptionalInt.empty());
 
         // when
-        controller.onBroken(id, true, true, now, effects::add);
+        controller.onBroken(id, true, now, effects::add);
 
         // then
         assertThat(nodesAsked()).hasSize(1);
@@ -136,8 +138,8 @@
         long id = open(RequestKind.SAFE, OptionalInt.empty());
 
         // when
-        controller.onBroken(id, true, true, now, effects::add);
-        controller.onBroken(id, true, true, now, effects::add);
+        controller.onBroken(id, true, now, effects::add);
+        controller.onBroken(id, true, now, effects::add);
 
         // then
         assertThat(nodesAsked()).containsExactlyInAnyOrder("one", "two");
@@ -246,7 +248,7 @@
         join("one");
         join("two");
         long id = open(RequestKind.SAFE, OptionalInt.empty());
-        controller.onBroken(id, true, true, now, effects::add);
+        controller.onBroken(id, true, now, effects::add);
 
         // when
         controller.onRefused(id, Refusal.FULL, 100, IDLE, now, effects::add);
@@ -265,7 +267,7 @@
         roster.remove(owner.node());
 
         // when
-        controller.onBroken(id, true, true, now, effects::add);
+        controller.onBroken(id, true, now, effects::add);
         now += Timing.millisToNanos(1_001);
         controller.advance(now, effects::add);
 
@@ -298,7 +300,7 @@
         Member broken = join("one");
         for (int i = 0; i < 30; i++) {
             long id = open(RequestKind.UNSAFE, OptionalInt.empty());
-            controller.onBroken(id, false, true, now, effects::add);
+            controller.onBroken(id, false, now, effects::add);
         }
         join("two");
         effects.clear();
@@ -335,4 +337,35 @@
             assertThat(refused.retryAfterMillis()).isGreaterThanOrEqualTo(60_000);
         });
     }
+
+    /** Guards against a request that reached a second server with the end of its body only. */
+    @ParameterizedTest
+    @EnumSource(RequestKind.class)
+    void should_send_a_request_once_when_its_body_was_dropped(RequestKind kind) {
+        // given
+        join("node-a");
+        join("node-b");
+
+        // when
+        for (String how : List.of("refused", "broken", "failed")) {
+            long id = open(kind, OptionalInt.empty());
+            effects.clear();
+            controller.onBodyDropped(id, now, effects::add);
+            switch (how) {
+                case "refused" -> controller.onRefused(id, Refusal.SHED, 0, IDLE, now, effects::add);
+                case "broken" -> controller.onBroken(id, false, now, effects::add);
+                default -> controller.onAnswer(id, true, IDLE, now, effects::add);
+            }
+
+            // then
+            assertThat(effects)
+                    .singleElement()
+                    .isInstanceOf(
+                            switch (how) {
+                                case "refused" -> EntryEffect.Refuse.class;
+                                case "broken" -> EntryEffect.Fail.class;
+                                default -> EntryEffect.Deliver.class;
+                            });
+        }
+    }
 }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
@@ -89,10 +89,12 @@
     /** Buffers a piece of the request's body if it may be replayed, and sends it to the current attempt. */
     void body(byte[] bytes) {
         content.update(bytes);
-        if (replayable && (!accepted || replayBuffer.size() + bytes.length <= MAX_REPLAY_BYTES)) {
+        boolean fits = !accepted || replayBuffer.size() + bytes.length <= MAX_REPLAY_BYTES;
+        if (replayable && fits) {
             replayBuffer.writeBytes(bytes);
-        } else {
+        } else if (replayable) {
             replayable = false;
+            loop.run((now, effects) -> core.entry().onBodyDropped(request.id(), now, effects));
         }
         if (attempt != null && attempt.connected()) {
             attempt.body(bytes);
@@ -217,6 +219,8 @@
 
     @Override
     public void onRefused(Refusal reason, long retryAfterMillis, AdmissionLoad reported) {
+        // Until the next attempt is accepted, more of the body is not read than can be kept.
+        accepted = false;
         loop.run((now, effects) ->
                 core.entry().onRefused(request.id(), reason, retryAfterMillis, reported, now, effects));
     }
@@ -243,7 +247,7 @@
         if (!answerReported) {
             answerReported = true;
             boolean failed = answer.getStatus() >= FIRST_SERVER_ERROR_STATUS;
-            loop.run((now, effects) -> core.entry().onAnswer(request.id(), failed, replayable, load, now, effects));
+            loop.run((now, effects) -> core.entry().onAnswer(request.id(), failed, load, now, effects));
         }
     }
 
@@ -263,7 +267,8 @@
 
     @Override
     public void onBroken(boolean linkLost) {
-        loop.run((now, effects) -> core.entry().onBroken(request.id(), linkLost, replayable, now, effects));
+        accepted = false;
+        loop.run((now, effects) -> core.entry().onBroken(request.id(), linkLost, now, effects));
     }
 
     private void deliver() {
