--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/backend/BackendCall.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/backend/BackendCall.java
@@ -72,12 +72,17 @@
     private static final int LAST_SUCCESS_STATUS = 299;
     private static final int LAST_INFORMATIONAL_STATUS = 199;
     private static final int MISDIRECTED_STATUS = 421;
+    /** Most bytes of refusals and of answers to other requests that a call reads. */
+    private static final int MAX_DISCARDED_BYTES = 256 * 1024;
+    /** Bytes that a head counts for which is not passed on. */
+    private static final int DISCARDED_HEAD_BYTES = 1024;
 
     private final BackendPool pool;
     private final AdmissionRequest request;
     private final RelayOpen open;
     private final Observer observer;
     private final Deque<byte[]> pendingBody = new ArrayDeque<>();
+    private BackendConnection connection;
     private HttpLink link;
     private boolean bodyEnded;
     private boolean bodySent;
@@ -86,6 +91,7 @@
     private boolean refused;
     private boolean lastOnLink;
     private int answerStatus;
+    private int discardedBytes;
 
     /**
      * Creates a call; {@link #begin} sends it.
@@ -104,7 +110,7 @@
 
     /** Acquires a connection and sends the request's head, with the part of the body that has already arrived. */
     public void begin() {
-        pool.acquire(request.kind().isRepeatable())
+        pool.acquire(request.attemptId(), request.kind().isRepeatable())
                 .whenResult(acquired -> begin(acquired))
                 .whenException(e -> {
                     if (!closed) {
@@ -114,12 +120,13 @@
                 });
     }
 
-    private void begin(HttpLink acquired) {
+    private void begin(BackendConnection acquired) {
         if (closed) {
             pool.release(acquired);
             return;
         }
-        link = acquired;
+        connection = acquired;
+        link = acquired.link();
         link.begin(requestHead(), this);
         for (byte[] piece = pendingBody.poll(); piece != null; piece = pendingBody.poll()) {
             link.body(piece);
@@ -192,10 +199,15 @@
         lastOnLink |= ofEarlierRequest || !HttpUtil.isKeepAlive(head);
         skipping = status <= LAST_INFORMATIONAL_STATUS || ofEarlierRequest;
         if (skipping) {
+            discard(DISCARDED_HEAD_BYTES);
             return;
         }
         answerStatus = status;
         refused = head.headers().contains(RequestFields.NOT_RUN) || status == MISDIRECTED_STATUS;
+        if (refused && !hasOwnId(head)) {
+            // It may be of another request, while the server runs this one.
+            fail();
+        }
         if (refused) {
             return;
         }
@@ -212,14 +224,30 @@
         return id != null && !id.equals(request.attemptId());
     }
 
+    private boolean hasOwnId(HttpResponse head) {
+        return request.attemptId().equals(head.headers().get(RequestFields.ATTEMPT_ID));
+    }
+
     private boolean isSigned(HttpResponse head) {
-        return head.headers().contains(RequestFields.SIGNATURE)
-                && request.attemptId().equals(head.headers().get(RequestFields.ATTEMPT_ID));
+        return head.headers().contains(RequestFields.SIGNATURE) && hasOwnId(head);
+    }
+
+    /** Counts bytes that are not passed on, and ends a call that receives too many of them. */
+    private void discard(int bytes) {
+        discardedBytes += bytes;
+        if (discardedBytes > MAX_DISCARDED_BYTES && refused) {
+            lastOnLink = true;
+            onComplete();
+        } else if (discardedBytes > MAX_DISCARDED_BYTES) {
+            fail();
+        }
     }
 
     @Override
     public void onBody(byte[] bytes) {
-        if (!skipping && !refused) {
+        if (skipping || refused) {
+            discard(bytes.length);
+        } else {
             observer.onAnswerBody(bytes);
         }
     }
@@ -234,11 +262,14 @@
             return;
         }
         closed = true;
+        if (refused) {
+            connection.refusedIds().add(request.attemptId());
+        }
         if (lastOnLink || !bodySent) {
             link.close();
         } else {
             link.release();
-            pool.release(link);
+            pool.release(connection);
         }
         if (refused) {
             observer.onNotRun(answerStatus == MISDIRECTED_STATUS);
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/backend/BackendPool.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/backend/BackendPool.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.Objects;
 
 import io.activej.eventloop.Eventloop;
@@ -22,7 +23,7 @@
     /** Time for which non-repeatable requests get new connections after a reused one broke, in nanoseconds. */
     private static final long DISTRUST_NANOS = Timing.millisToNanos(5_000);
 
-    private record Idle(HttpLink link, long since) {}
+    private record Idle(BackendConnection connection, long since) {}
 
     private final Eventloop eventloop;
     private final Address address;
@@ -41,38 +42,43 @@
     }
 
     /**
-     * Returns the most recently used idle connection, or opens a new one. For some time after a reused connection
-     * broke, requests that are not repeatable always get a new one.
+     * Returns the most recently used idle connection on which the server has not refused the request, or opens a new
+     * one. For some time after a reused connection broke, requests that are not repeatable always get a new one.
      *
+     * @param id the id of the request
      * @param repeatable whether the request may be sent again if the connection turns out to be broken
      * @return the connection; the promise fails if none can be opened
      */
-    public Promise<HttpLink> acquire(boolean repeatable) {
+    Promise<BackendConnection> acquire(String id, boolean repeatable) {
         closeExpired();
         boolean trusted = repeatable || RelayLoop.now() - distrustUntil >= 0;
-        while (trusted && !idle.isEmpty()) {
-            HttpLink link = idle.pollLast().link();
-            if (link.reusable()) {
-                return Promise.of(link);
+        Iterator<Idle> latestFirst = idle.descendingIterator();
+        while (trusted && latestFirst.hasNext()) {
+            BackendConnection connection = latestFirst.next().connection();
+            if (!connection.isReusable()) {
+                connection.link().close();
+                latestFirst.remove();
+            } else if (!connection.refusedIds().contains(id)) {
+                latestFirst.remove();
+                return Promise.of(connection);
             }
-            link.close();
         }
-        return HttpLink.connect(eventloop, address, CONNECT_MILLIS);
+        return HttpLink.connect(eventloop, address, CONNECT_MILLIS).map(BackendConnection::of);
     }
 
     private void closeExpired() {
         while (!idle.isEmpty() && RelayLoop.now() - idle.peekFirst().since() > MAX_IDLE_NANOS) {
-            idle.pollFirst().link().close();
+            idle.pollFirst().connection().link().close();
         }
     }
 
     /**
      * Returns a connection to the pool once its answer is complete.
      *
-     * @param link the connection
+     * @param connection the connection
      */
-    public void release(HttpLink link) {
-        idle.addLast(new Idle(link, RelayLoop.now()));
+    void release(BackendConnection connection) {
+        idle.addLast(new Idle(connection, RelayLoop.now()));
     }
 
     /** Records that a reused connection broke, since the server may be about to close the other idle ones too. */
@@ -82,7 +88,7 @@
 
     /** Closes all idle connections, because another server may now be listening at the address. */
     public void closeIdle() {
-        idle.forEach(each -> each.link().close());
+        idle.forEach(each -> each.connection().link().close());
         idle.clear();
     }
 
--- a/verbenamast-relay/src/test/java/org/verbenamast/relay/backend/BackendCallTest.java
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/backend/BackendCallTest.java
@@ -16,6 +16,7 @@
 
 import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
 import io.activej.reactor.schedule.ScheduledRunnable;
 import io.netty.handler.codec.http.HttpResponse;
 import org.junit.jupiter.api.AfterEach;
@@ -68,6 +69,11 @@
         return OK + "X-Verbenamast-Attempt-Id: " + id + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
+    private static String refusal(String idField) {
+        return "HTTP/1.1 503 Service Unavailable\r\nX-Verbenamast-Not-Executed: 1\r\n" + idField
+                + "Content-Length: 0\r\n\r\n";
+    }
+
     private static byte[] failure(int number) {
         return bytes(answer("attempt-" + number, "failed").replace("200 OK", "500 Internal Server Error"));
     }
@@ -128,13 +134,19 @@
     /** One call and what its observer saw. */
     private final class Call implements BackendCall.Observer {
 
-        private final String id = "attempt-" + ++lastId;
+        private final String id;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private final BackendCall call;
         private String end = "";
         private int status;
+        private boolean hasRoom = true;
 
         private Call() {
+            this("attempt-" + ++lastId);
+        }
+
+        private Call(String id) {
+            this.id = id;
             long now = RelayLoop.now();
             AdmissionRequest request = new AdmissionRequest(
                     lastId,
@@ -195,7 +207,7 @@
 
         @Override
         public void onAnswerBody(byte[] bytes) {
-            if (body.size() < PIECE_BYTES) {
+            if (!hasRoom || body.size() < PIECE_BYTES) {
                 body.writeBytes(bytes);
             } else if (end.equals("head")) {
                 call.close();
@@ -215,7 +227,7 @@
 
         @Override
         public Promise<Void> room() {
-            return Promise.complete();
+            return hasRoom ? Promise.complete() : new SettablePromise<>();
         }
     }
 
@@ -417,4 +429,101 @@
         // then
         assertThat(new Call().run().end).isEqualTo("broken");
     }
+
+    /** Guards against "not run" for a request that runs: a refusal of an earlier request came once more. */
+    @ParameterizedTest
+    @ValueSource(strings = {"X-Verbenamast-Attempt-Id: attempt-1\r\n", "X-Verbenamast-Attempt-Id: \r\n", ""})
+    void should_never_report_a_request_as_not_run_on_the_refusal_of_another_one(String idField) throws IOException {
+        // given
+        AtomicInteger requests = new AtomicInteger();
+        serve((number, out) -> {
+            boolean first = requests.incrementAndGet() == 1;
+            out.write(bytes(first ? refusal("X-Verbenamast-Attempt-Id: attempt-1\r\n") : refusal(idField)));
+            out.write(bytes(first ? "" : answer("attempt-2", "own")));
+        });
+
+        // when
+        Call first = new Call().run();
+        Call second = new Call().run();
+
+        // then
+        assertThat(first.end).isEqualTo("not run");
+        assertThat(second.end).isEqualTo(idField.isEmpty() ? "broken" : "answered");
+    }
+
+    /** Guards against the same for a request that is sent again to the server that refused it. */
+    @Test
+    void should_use_another_connection_when_a_request_is_sent_again_after_its_refusal() throws IOException {
+        // given
+        AtomicInteger requests = new AtomicInteger();
+        serve((number, out) -> {
+            boolean first = requests.incrementAndGet() == 1;
+            boolean isCopy = number > 0;
+            String refusal = refusal("X-Verbenamast-Attempt-Id: same\r\n");
+            out.write(bytes(first || isCopy ? refusal : answer("same", "own")));
+        });
+
+        // when
+        Call first = new Call("same").run();
+        Call again = new Call("same").run();
+        Call other = new Call("other").run();
+
+        // then
+        assertThat(first.end).isEqualTo("not run");
+        assertThat(again.end).isEqualTo("answered");
+        assertThat(connections.get()).isEqualTo(2);
+        assertThat(other.end).isNotEqualTo("unsent");
+    }
+
+    /** Guards against a call that keeps or waits for what is no answer to it, without end. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "HTTP/1.1 100 Continue\r\n\r\n|HTTP/1.1 100 Continue\r\n\r\n",
+                OK + "X-Verbenamast-Attempt-Id: other\r\n\r\n|x",
+                OK + "X-Verbenamast-Attempt-Id: other\r\nContent-Length: 0\r\n\r\n|" + OK
+                        + "X-Verbenamast-Attempt-Id: other\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 503 Full\r\nX-Verbenamast-Not-Executed: 1\r\nX-Verbenamast-Attempt-Id: attempt-1\r\n\r\n|x"
+            })
+    void should_close_the_connection_when_bytes_that_answer_nothing_never_end(String script) throws Exception {
+        // given
+        int bar = script.indexOf('|');
+        serve((number, out) -> {
+            out.write(bytes(script.substring(0, bar)));
+            while (true) {
+                out.write(bytes(script.substring(bar + 1).repeat(PIECE_BYTES)));
+            }
+        });
+
+        // when
+        Call call = new Call().run();
+
+        // then
+        assertThat(call.end).isEqualTo(script.startsWith("HTTP/1.1 503") ? "not run" : "broken");
+        assertThat(call.body.size()).isZero();
+        threads.get(1).join();
+        assertThat(endedByCaller).isTrue();
+    }
+
+    /** Guards against a node that keeps an endless body in memory while its caller does not read. */
+    @Test
+    void should_leave_an_endless_body_in_the_network_when_nobody_takes_it() throws IOException {
+        // given
+        serve((number, out) -> {
+            out.write(bytes(OK + "X-Verbenamast-Attempt-Id: attempt-1\r\n\r\n"));
+            while (true) {
+                out.write(new byte[PIECE_BYTES]);
+            }
+        });
+        Call call = new Call();
+        call.hasRoom = false;
+
+        // when
+        call.run();
+        call.call.close();
+
+        // then
+        assertThat(call.end).isEqualTo("head");
+        assertThat(call.body.size()).isLessThan(ENDLESS_BYTES);
+    }
 }
