--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionController.java
@@ -1,5 +1,6 @@
 package org.verbenamast.core.admission;
 
+import java.util.ArrayList;
 import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -310,6 +311,18 @@
         reviewWaiting(now, effects);
     }
 
+    /**
+     * Ends all open requests like those whose deadline has passed, so that their senders know of it.
+     *
+     * @param now the monotonic time, in nanoseconds
+     * @param effects receives the effects
+     */
+    public void expireAll(long now, Effects effects) {
+        List<Long> ids = new ArrayList<>();
+        requests.forEach((id, instance) -> ids.add(id));
+        ids.forEach(id -> requests.fire(id, AdmissionEvent.TIME_OVER, AdmissionInput.NONE, now, effects));
+    }
+
     /**
      * Returns when the next timer is due or, if only the cold limit delays a request, when the limit allows it.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryController.java
@@ -344,6 +344,18 @@
         routingIds.forEach(id -> route(id, now, effects));
     }
 
+    /**
+     * Ends all open requests like those whose deadline has passed; answers that are being delivered go on.
+     *
+     * @param now the monotonic time, in nanoseconds
+     * @param effects receives the effects
+     */
+    public void expireAll(long now, Effects effects) {
+        List<Long> ids = new ArrayList<>();
+        requests.forEach((id, instance) -> ids.add(id));
+        ids.forEach(id -> requests.fire(id, EntryEvent.TIME_OVER, EntryInput.NONE, now, effects));
+    }
+
     /**
      * Returns when the next timer is due.
      *
--- a/verbenamast-ctl/src/main/java/org/verbenamast/ctl/ChartCommands.java
+++ b/verbenamast-ctl/src/main/java/org/verbenamast/ctl/ChartCommands.java
@@ -31,6 +31,7 @@
             "serve",
             "server",
             "slice",
+            "stop",
             "store-call",
             "suspect",
             "takeover",
--- a/verbenamast-it/src/main/java/org/verbenamast/it/deploy/RelayFleet.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/deploy/RelayFleet.java
@@ -21,6 +21,7 @@
     private static final int STORE_ROUTE = 6;
 
     private static final long END_SECONDS = 10;
+    private static final int GRACE_SECONDS = 6;
     private static final String DEADLINE_MILLIS = "2500";
     private static final String MANIFEST = """
             {"version": 1,
@@ -128,9 +129,21 @@
      * @throws IOException where the process can't be started
      */
     public void startRelay(int host) throws IOException {
+        startRelay(host, GRACE_SECONDS);
+    }
+
+    /**
+     * Starts the relay of a host with a grace period of its own.
+     *
+     * @param host the host
+     * @param graceSeconds the time between SIGTERM and the latest exit of the process, in seconds
+     * @throws IOException where the process can't be started
+     */
+    public void startRelay(int host, int graceSeconds) throws IOException {
         String settings = """
                 {"node": "node-%d", "zone": "a", "service": "%s", "server": "%s", "callers": "%s", "ready": "%s",
-                 "heartbeats": "%s", "peers": "%s", "metrics": "%s", "store": "%s"}
+                 "heartbeats": "%s", "peers": "%s", "metrics": "%s", "store": "%s",
+                 "graceSeconds": %d}
                 """.formatted(
                         host,
                         service(host),
@@ -140,7 +153,8 @@
                         address(host, 3),
                         address(host, 4),
                         address(host, 5),
-                        wiring == Wiring.PROXIED ? address(host, STORE_ROUTE) : store());
+                        wiring == Wiring.PROXIED ? address(host, STORE_ROUTE) : store(),
+                        graceSeconds);
         Path file = Files.writeString(folder.resolve("node-" + host + ".json"), settings);
         relays.set(host, programs.relay("node-" + host, file));
     }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
@@ -26,6 +26,8 @@
 import org.verbenamast.core.rows.StorePurpose;
 import org.verbenamast.core.rows.StoreResult;
 import org.verbenamast.core.rows.StoredRow;
+import org.verbenamast.core.stop.StopController;
+import org.verbenamast.core.stop.StopEffect;
 import org.verbenamast.core.watch.FollowEffect;
 import org.verbenamast.core.watch.FollowEvent;
 import org.verbenamast.core.watch.FollowInput;
@@ -52,14 +54,12 @@
 
     /** Interval of the checks of the clocks and of idle connections, in milliseconds. */
     private static final long HOUSEKEEPING_INTERVAL_MILLIS = 100;
+
+    private static final long MILLIS_PER_SECOND = 1_000;
     /** Interval of the checks of the settings file, in milliseconds; a change must be in force within 3 s. */
     private static final long SETTINGS_CHECK_INTERVAL_MILLIS = 1_000;
     /** Jump of the wall clock that is treated as a suspension of the host, in milliseconds. */
     private static final long SUSPENSION_THRESHOLD_MILLIS = 200;
-    /** Time before the end of the grace period at which the process exits in any case, in milliseconds. */
-    private static final long EXIT_MARGIN_MILLIS = 600;
-    /** Time for which a stopping node still accepts requests, in milliseconds; callers notice within two seconds. */
-    private static final long ACCEPT_WHILE_STOPPING_MILLIS = 2_600;
 
     private final SettingsWatch watch;
     private RelayNodeSettings settings;
@@ -75,7 +75,7 @@
     private final RequestCounts counts = new RequestCounts();
     private final PeerNotifier peerSender;
     private final SuspensionDetector suspensionDetector = new SuspensionDetector(SUSPENSION_THRESHOLD_MILLIS);
-    private long stoppingSinceNanos;
+    private final StopController stop = new StopController(BeliefLog::transition);
     private long nextSettingsCheckAt;
     private long reportedDropped;
 
@@ -102,7 +102,7 @@
         this.callers = new CallerServer(eventloop, settings.callers(), settings.service(), core, loop, peers, counts);
         this.gate = new GateServer(eventloop, settings.peers(), core, loop, backend, counts);
         this.front = new PlatformFront(
-                eventloop, settings, core, loop, new MetricsPage(core, counts), () -> stoppingSinceNanos == 0);
+                eventloop, settings, core, loop, new MetricsPage(core, counts), () -> !stop.isStopping());
         this.peerSender = new PeerNotifier(peers);
     }
 
@@ -143,13 +143,10 @@
 
     private void housekeep() {
         eventloop.delayBackground(HOUSEKEEPING_INTERVAL_MILLIS, () -> {
-            if (stoppingSinceNanos != 0 && mayExit()) {
-                LOG.info("node {} stopped", settings.node());
-                eventloop.breakEventloop();
-                return;
-            }
             // Scheduled first, so that an error below can't end the housekeeping, and with it the stop of the node.
             housekeep();
+            boolean isIdle = callers.idle() && core.admission().isIdle();
+            loop.run((now, effects) -> stop.advance(isIdle, now, effects));
             if (suspensionDetector.maybeSuspended()) {
                 LOG.warn("the host may have been suspended; confirming leases again");
                 loop.run(core::onSuspended);
@@ -157,10 +154,6 @@
             callers.closeIdle();
             reportDropped();
             checkSettings();
-            if (stoppingSinceNanos != 0 && stoppingMillis() >= ACCEPT_WHILE_STOPPING_MILLIS) {
-                callers.refuseNew();
-                loop.run(core.admission()::close);
-            }
         });
     }
 
@@ -186,23 +179,29 @@
     }
 
     private void stop() {
-        if (stoppingSinceNanos == 0) {
+        if (!stop.isStopping()) {
             LOG.info("node {} is stopping", settings.node());
-            stoppingSinceNanos = RelayLoop.now();
-            callers.stop();
+            loop.run((now, effects) -> stop.stop(settings.graceSeconds() * MILLIS_PER_SECOND, now, effects));
+            callers.stop(stop.answersUntil());
             loop.run((now, effects) -> core.admission().stop(now, effects));
         }
     }
 
-    private long stoppingMillis() {
-        return (RelayLoop.now() - stoppingSinceNanos) / Timing.NANOS_PER_MILLI;
-    }
-
-    private boolean mayExit() {
-        long elapsed = stoppingMillis();
-        long latest = settings.graceSeconds() * 1_000 - EXIT_MARGIN_MILLIS;
-        boolean idle = callers.idle() && core.admission().isIdle();
-        return elapsed >= latest || elapsed >= ACCEPT_WHILE_STOPPING_MILLIS && idle;
+    private void run(StopEffect effect) {
+        switch (effect) {
+            case REFUSE_NEW -> {
+                callers.refuseNew();
+                loop.run(core.admission()::close);
+            }
+            case ANSWER_OPEN -> {
+                loop.run(core.entry()::expireAll);
+                loop.run(core.admission()::expireAll);
+            }
+            case EXIT -> {
+                LOG.info("node {} stopped", settings.node());
+                eventloop.breakEventloop();
+            }
+        }
     }
 
     private void run(Effect effect) {
@@ -214,6 +213,8 @@
             store.run(call);
         } else if (effect instanceof FollowEffect follow) {
             store.run(follow);
+        } else if (effect instanceof StopEffect stopping) {
+            run(stopping);
         } else if (effect instanceof KeyEffect.SendLoadReport report) {
             peerSender.send(report);
         } else if (effect instanceof KeyEffect.Granted granted) {
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerServer.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerServer.java
@@ -62,6 +62,7 @@
     private final CallerBudgets callerBudgets = new CallerBudgets();
     private boolean stopping;
     private boolean refusing;
+    private long answersUntil = Long.MAX_VALUE;
     private long lastId;
 
     /**
@@ -109,9 +110,14 @@
         server.listen();
     }
 
-    /** Closes each connection after its next answer. */
-    public void stop() {
+    /**
+     * Closes each connection after its next answer, and limits the time of requests that arrive from now on.
+     *
+     * @param latestAnswerAt the monotonic time by which they have to be answered, in nanoseconds
+     */
+    public void stop(long latestAnswerAt) {
         stopping = true;
+        answersUntil = latestAnswerAt;
     }
 
     /** Refuses all further requests at once, so that the shutdown of the node cuts off none that it has accepted. */
@@ -205,7 +211,7 @@
                 key,
                 now,
                 now + Timing.millisToNanos(route.objectiveMillis() - spentMillis),
-                now + Timing.millisToNanos(deadlineMillis));
+                Math.max(now, Math.min(answersUntil, now + Timing.millisToNanos(deadlineMillis))));
         CallerExchange exchange = new CallerExchange(request, openFrame(head), connection, core, loop, pool, log);
         exchanges.put(request.id(), exchange);
         connection.setExchange(exchange);
