--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/crash/CrashReportController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/crash/CrashReportController.java
@@ -28,8 +28,8 @@
     /** Crashes after which a request is stopped. */
     private static final int CRASHES_TO_STOP = 2;
     /**
-     * Longest delay before a node corrects another node's report, in nanoseconds; random, so that the nodes that see the
-     * same answers do not all write the same correction.
+     * Longest delay before a node corrects a report, in nanoseconds; random, so that nodes that see the same answers do
+     * not all write the same correction.
      */
     private static final long MAX_CORRECTION_DELAY_NANOS = Timing.millisToNanos(2_000);
 
--- a/verbenamast-core/src/test/java/org/verbenamast/core/relay/RelayCoreTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/relay/RelayCoreTest.java
@@ -66,7 +66,7 @@
         assertThat(core.isReady()).isTrue();
     }
 
-    /** Guards against a server that lost its keys to an entry of another writer, which names no server beside this node. */
+    /** Guards against a server that lost its keys to an entry of another writer. */
     @Test
     void should_ignore_a_heartbeat_when_it_is_not_of_the_server_beside_this_node() {
         // given
--- a/verbenamast-it/src/test/java/org/verbenamast/it/RelayStopTest.java
+++ b/verbenamast-it/src/test/java/org/verbenamast/it/RelayStopTest.java
@@ -46,7 +46,7 @@
         assertThat(status).isEqualTo(200);
     }
 
-    /** Guards against requests that a stopping node takes and cuts off, without an answer, when its grace period ends. */
+    /** Guards against requests that a stopping node takes and cuts off, without an answer, at its exit. */
     @Test
     void should_answer_every_request_that_it_took_when_a_node_is_stopped() throws Exception {
         Path root = Path.of("..").toAbsolutePath().normalize();
