--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
@@ -188,19 +188,15 @@
     }
 
     private void run(StopEffect effect) {
-        switch (effect) {
-            case REFUSE_NEW -> {
-                callers.refuseNew();
-                loop.run(core.admission()::close);
-            }
-            case ANSWER_OPEN -> {
-                loop.run(core.entry()::expireAll);
-                loop.run(core.admission()::expireAll);
-            }
-            case EXIT -> {
-                LOG.info("node {} stopped", settings.node());
-                eventloop.breakEventloop();
-            }
+        if (effect == StopEffect.REFUSE_NEW) {
+            callers.refuseNew();
+            loop.run(core.admission()::close);
+        } else if (effect == StopEffect.ANSWER_OPEN) {
+            loop.run(core.entry()::expireAll);
+            loop.run(core.admission()::expireAll);
+        } else {
+            LOG.info("node {} stopped", settings.node());
+            eventloop.breakEventloop();
         }
     }
 
