--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/crash/CrashReportController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/crash/CrashReportController.java
@@ -123,23 +123,28 @@
     }
 
     /**
-     * Handles the answer of the server beside this node to a request.
+     * Handles the answer of the server beside this node to a request, unless the request has ended before.
      *
      * @param id the request's number
      * @param now the monotonic time, in nanoseconds
      */
     public void onAnswered(long id, long now) {
-        onAnswered(arrived.get(id).fingerprint(), now);
+        if (arrived.containsKey(id)) {
+            onAnswered(arrived.get(id).fingerprint(), now);
+        }
     }
 
     /**
-     * Handles the loss of the connection to the server beside this node while it was running a request.
+     * Handles the loss of the connection to the server beside this node while it was running a request, unless the
+     * request has ended before.
      *
      * @param id the request's number
      * @param server the incarnation that was running it
      */
     public void onConnectionLost(long id, ServerIncarnation server) {
-        incidents.add(server.toString(), arrived.get(id).fingerprint());
+        if (arrived.containsKey(id)) {
+            incidents.add(server.toString(), arrived.get(id).fingerprint());
+        }
     }
 
     /**
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyController.java
@@ -6,6 +6,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.LongUnaryOperator;
 import java.util.function.Predicate;
 
 import org.verbenamast.core.chart.TransitionListener;
@@ -67,6 +68,7 @@
      * @param roster the members of all services
      * @param replica the rows that this node knows
      * @param reachable whether this node reaches a member
+     * @param membersAsOf returns, at a monotonic time, the time as of which all members are known; both in nanoseconds
      * @param listener notified of each transition
      */
     public KeyController(
@@ -74,6 +76,7 @@
             Roster roster,
             RowReplica replica,
             Predicate<Member> reachable,
+            LongUnaryOperator membersAsOf,
             TransitionListener listener) {
         this.node = self.node();
         this.service = self.service();
@@ -81,7 +84,7 @@
         this.startedAt = self.startedAt();
         this.demand = new KeyDemand(service);
         this.hosts = new KeyHosts(node, service, roster, reachable);
-        this.planner = new KeyPlanner(hosts, demand);
+        this.planner = new KeyPlanner(hosts, demand, membersAsOf);
         this.replica = Objects.requireNonNull(replica, "replica");
         this.keyLease = new KeyLeaseController(timings, service, self.nodeIncarnation(), listener);
         this.mapWriter = new RowWriter(StorePurpose.KEY_MAP, replica, this::requiredChanges, listener);
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyPlanner.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyPlanner.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Set;
+import java.util.function.LongUnaryOperator;
 
 import org.verbenamast.core.node.Timing;
 import org.verbenamast.core.roster.Member;
@@ -27,12 +28,22 @@
 
     private final KeyHosts hosts;
     private final KeyDemand demand;
+    private final LongUnaryOperator membersAsOf;
     private long nextBalance;
     private long membersChangedAt;
+    private long firstMemberAt = NEVER;
     private int memberCount;
     private long unfitSince = NEVER;
 
-    KeyPlanner(KeyHosts hosts, KeyDemand demand) {
+    /**
+     * Creates a planner without members.
+     *
+     * @param hosts the hosts of the service
+     * @param demand the load of the keys
+     * @param membersAsOf returns, at a monotonic time, the time as of which all members are known; both in nanoseconds
+     */
+    KeyPlanner(KeyHosts hosts, KeyDemand demand, LongUnaryOperator membersAsOf) {
+        this.membersAsOf = Objects.requireNonNull(membersAsOf, "membersAsOf");
         this.hosts = Objects.requireNonNull(hosts, "hosts");
         this.demand = Objects.requireNonNull(demand, "demand");
     }
@@ -41,7 +52,7 @@
     KeyMap plan(KeyMap map, long now) {
         recordMemberCount(now);
         boolean first = map.lastEpoch() == 0;
-        if (first && now - membersChangedAt < FIRST_ASSIGNMENT_DELAY_NANOS) {
+        if (first && !isSettled(now)) {
             return map;
         }
         int rank = hosts.rank(now);
@@ -51,8 +62,21 @@
         return plan(map, rank == 0, now);
     }
 
+    /**
+     * Returns whether the members are known that started together with the first ones, and none has joined lately. A
+     * node that has just started knows itself and few others until it has read the members once more.
+     */
+    private boolean isSettled(long now) {
+        return firstMemberAt != NEVER
+                && membersAsOf.applyAsLong(now) - firstMemberAt >= FIRST_ASSIGNMENT_DELAY_NANOS
+                && now - membersChangedAt >= FIRST_ASSIGNMENT_DELAY_NANOS;
+    }
+
     private void recordMemberCount(long now) {
         int members = hosts.serving().size();
+        if (members > 0) {
+            firstMemberAt = Math.min(firstMemberAt, now);
+        }
         if (members != memberCount) {
             memberCount = members;
             membersChangedAt = now;
--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
@@ -78,7 +78,7 @@
                 settings.service(),
                 settings.leaseTimings(),
                 settings.startedAt());
-        this.keys = new KeyController(keyed, roster, replica, entry::isReachable, listener);
+        this.keys = new KeyController(keyed, roster, replica, entry::isReachable, follow::membersAsOf, listener);
         this.ownRows = new OwnRows(settings, replica, backend, crashReports, listener);
     }
 
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowController.java
@@ -14,6 +14,9 @@
 /** Follows the tables of the store that every node has to know, with one call at a time for each table. */
 public final class FollowController {
 
+    /** Time within which the store answers a call if it has a change, in nanoseconds. */
+    private static final long ANSWER_NANOS = Timing.millisToNanos(500);
+
     /** The names that the chart file can refer to. */
     public static final Vocabulary<FollowEvent, FollowGuard, FollowAction, FollowTimer, NoTag> VOCABULARY =
             new Vocabulary<>(FollowEvent.class, FollowGuard.class, FollowAction.class, FollowTimer.class, NoTag.class);
@@ -93,6 +96,20 @@
                         tables.find(FollowedTable.SHARED).data().latest());
     }
 
+    /**
+     * Returns as of when this node knows all members.
+     *
+     * @param now the monotonic time, in nanoseconds
+     * @return the time of the store's last answer, or of a call that has waited for a change since; 0 before the first
+     *     answer; in nanoseconds of the monotonic clock
+     */
+    public long membersAsOf(long now) {
+        FollowData data = tables.find(FollowedTable.SHARED).data();
+        boolean waiting = data.calledAt() > data.answeredAt() && data.failures() == 0;
+        boolean wouldBeAnswered = now - data.calledAt() >= ANSWER_NANOS;
+        return data.answeredAt() > 0 && waiting && wouldBeAnswered ? data.calledAt() : data.answeredAt();
+    }
+
     /**
      * Handles the versions that another node knows. The node asks the store for what it lacks, and relies on the other
      * node's answer from the store where that answer shows that nothing newer is there.
--- a/verbenamast-core/src/test/java/org/verbenamast/core/keys/KeyControllerTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/keys/KeyControllerTest.java
@@ -34,6 +34,7 @@
             roster,
             new RowReplica(row -> {}),
             member -> true,
+            now -> now,
             TransitionListener.NONE);
 
     private static Member member(String node) {
--- a/verbenamast-core/src/test/java/org/verbenamast/core/keys/KeyPlannerTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/keys/KeyPlannerTest.java
@@ -20,9 +20,13 @@
     private static final Zone ZONE_OF_C = new Zone("c");
 
     private final Roster roster = new Roster();
+    private long membersAsOf = Long.MAX_VALUE;
 
     private KeyPlanner plannerOf(String node) {
-        return new KeyPlanner(new KeyHosts(node, SERVICE, roster, member -> true), new KeyDemand(SERVICE));
+        return new KeyPlanner(
+                new KeyHosts(node, SERVICE, roster, member -> true),
+                new KeyDemand(SERVICE),
+                now -> Math.min(now, membersAsOf));
     }
 
     private Member join(String node, Zone zone) {
@@ -108,7 +112,9 @@
         Member c = join("node-c", ZONE_OF_C);
         KeyMap owned = KeyMap.vacant(SERVICE).move(KeyRange.ALL, c.incarnation());
         KeyPlanner second = new KeyPlanner(
-                new KeyHosts("node-b", SERVICE, roster, member -> !member.equals(c)), new KeyDemand(SERVICE));
+                new KeyHosts("node-b", SERVICE, roster, member -> !member.equals(c)),
+                new KeyDemand(SERVICE),
+                now -> now);
 
         // then
         for (long at = 0; at < 10_000; at += 250) {
@@ -128,4 +134,30 @@
         // then
         assertThat(plannerOf("node-a").plan(owned, millis(9_000))).isSameAs(owned);
     }
+
+    /** Guards against hosts that start together and give the keys to one another in turn, each knowing itself alone. */
+    @Test
+    void should_assign_no_keys_when_the_other_members_are_not_known_yet() {
+        // given
+        KeyMap vacant = KeyMap.vacant(SERVICE);
+        KeyPlanner planner = plannerOf("node-b");
+        join("node-b", new Zone("b"));
+        membersAsOf = millis(100);
+
+        // when
+        for (long at = 0; at <= 6_000; at += 50) {
+            assertThat(planner.plan(vacant, millis(at))).isSameAs(vacant);
+        }
+        join("node-a", new Zone("a"));
+        join("node-c", ZONE_OF_C);
+        membersAsOf = millis(6_000);
+
+        // then
+        KeyPlanner first = plannerOf("node-a");
+        assertThat(first.plan(vacant, millis(6_050))).isSameAs(vacant);
+        membersAsOf = millis(7_600);
+        assertThat(first.plan(vacant, millis(7_500))).isSameAs(vacant);
+        KeyMap assigned = first.plan(vacant, millis(7_600));
+        assertThat(assigned.owners()).hasSize(3);
+    }
 }
--- a/verbenamast-core/src/test/java/org/verbenamast/core/keys/VirtualKeys.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/keys/VirtualKeys.java
@@ -65,7 +65,7 @@
             replica = new RowReplica(row -> {});
             KeyControllerSettings self = new KeyControllerSettings(
                     name, 1_000L * serverCount + start, SERVICE, KeyLeaseTimings.DEFAULT, now);
-            controller = new KeyController(self, roster, replica, this::isReachable, TransitionListener.NONE);
+            controller = new KeyController(self, roster, replica, this::isReachable, at -> at, TransitionListener.NONE);
         }
 
         void stopNode() {
--- a/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowControllerTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowControllerTest.java
@@ -256,4 +256,34 @@
         // then
         assertThat(calls(FollowedTable.OPERATORS)).hasSizeBetween(4, 7);
     }
+
+    @Test
+    void should_know_the_members_as_of_the_last_answer_or_of_a_call_that_waits() {
+        // given
+        assertThat(controller.membersAsOf(now)).isZero();
+        startController();
+        assertThat(controller.membersAsOf(now)).isEqualTo(now);
+
+        // when
+        long answeredAt = now;
+        runFor(300);
+        receiveSharedRow(8);
+
+        // then: until the next call, which follows after a pause, as of the answer
+        long changedAt = now;
+        assertThat(controller.membersAsOf(now)).isEqualTo(changedAt).isGreaterThan(answeredAt);
+        runFor(4_900);
+        assertThat(controller.membersAsOf(now)).isEqualTo(changedAt);
+        runFor(300);
+        assertThat(controller.membersAsOf(now)).isEqualTo(changedAt);
+
+        // then: a call that the store has left waiting shows that it knows nothing newer
+        runFor(500);
+        assertThat(controller.membersAsOf(now)).isEqualTo(changedAt + Timing.millisToNanos(5_000));
+
+        // then: one that failed shows nothing
+        long callId = lastCall(FollowedTable.SHARED).callId();
+        controller.onCallEnded(FollowedTable.SHARED, callId, FollowEvent.FAILED, FollowInput.NONE, now, effects::add);
+        assertThat(controller.membersAsOf(now)).isEqualTo(changedAt);
+    }
 }
