Test of a fleet whose entries select servers by load reports; fails

Entry nodes that select servers by load reports answer fewer requests in time than entry nodes that select at random.

--- /dev/null
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/entry/FleetChoiceMeasureTest.java
@@ -0,0 +1,42 @@
+package org.verbenamast.core.entry;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.verbenamast.core.entry.SimulatedFleet.Reports;
+import org.verbenamast.core.entry.SimulatedFleet.Result;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Compares the selection of servers by load reports with one at random, in fleets of several sizes. */
+class FleetChoiceMeasureTest {
+
+    private static double playAndShowInTime(int entries, double load, long seed, Reports reports) {
+        SimulatedFleet fleet = new SimulatedFleet(entries, load, seed, reports);
+        fleet.play();
+        System.out.printf(
+                "choice, reports %s, %d entries, load %.2f, seed %d: %.3f in time, %.3f served, busiest over mean %.2f%n",
+                reports,
+                entries,
+                load,
+                seed,
+                fleet.share(Result.IN_TIME),
+                fleet.share(Result.IN_TIME, Result.LATE),
+                fleet.busiestOverMean());
+        return fleet.share(Result.IN_TIME);
+    }
+
+    @ParameterizedTest
+    @CsvSource({"14, 1", "88, 0.67", "88, 1", "300, 0.67"})
+    void should_answer_no_less_in_time_than_a_random_choice_when_many_entries_select_servers(int entries, double load) {
+        for (long seed = 1; seed <= 2; seed++) {
+            // when
+            double informed = playAndShowInTime(entries, load, seed, Reports.DELIVERED);
+            double random = playAndShowInTime(entries, load, seed, Reports.BLANK);
+
+            // then
+            assertThat(informed)
+                    .as("share of long requests in time, seed %d", seed)
+                    .isGreaterThanOrEqualTo(random);
+        }
+    }
+}
