Choice of a server: the better of two drawn at random

Each entry node took the least of all load reports. It hears of a server every few seconds while queues change in a tenth of a second, so that many nodes held the same old minimum and overloaded its server; a server whose answers came late looked fast until then.

An entry node now draws two servers at random and takes the one that is expected to answer first. An old report then shifts a share of the load and never all of it, whatever the number of nodes. Servers of large answers are drawn in the node's own zone and elsewhere, and compared with the cost of the transfer.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/TargetSelector.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/TargetSelector.java
@@ -1,10 +1,14 @@
 package org.verbenamast.core.entry;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 
 import org.verbenamast.core.keys.KeyAssignment;
 import org.verbenamast.core.keys.KeyMap;
@@ -24,8 +28,6 @@
     private static final double LARGE_CROSS_ZONE_COST_MILLIS = 250;
     /** Time that a member in another zone must save for a small answer, in milliseconds; just over two crossings. */
     private static final double SMALL_CROSS_ZONE_COST_MILLIS = 5;
-    /** Spread of the random factor on expected times, as a ratio; keeps nodes from all selecting the same member. */
-    private static final double JITTER_RATIO = 0.15;
 
     private final Zone zone;
     private final Roster roster;
@@ -65,38 +67,57 @@
     }
 
     /**
-     * Finds the member that is expected to answer first. Skips members that were tried or are stopping, and uses
-     * unreachable members only if no other is left.
+     * Finds the member that is expected to answer first among two drawn at random. Load reports are out of date by the
+     * time they are used, and the least of all reports is the same for many nodes, which would then overload its
+     * member. Skips members that were tried or are stopping, and uses unreachable members only if no other is left.
      */
     Optional<Member> findFastest(String service, RequestKind kind, Set<String> triedNodes, long now) {
-        Member fastest = null;
-        Member fastestUnreachable = null;
-        double lowestMillis = Double.MAX_VALUE;
-        double lowestUnreachableMillis = Double.MAX_VALUE;
+        List<Member> members = new ArrayList<>();
+        List<Member> unreachableMembers = new ArrayList<>();
         for (Member member : roster.acceptingRequests(service)) {
-            if (triedNodes.contains(member.node()) || loads.isStopping(member.node(), now)) {
-                continue;
-            }
-            double millis = estimateMillis(member, kind, now);
-            if (unreachable.test(member)) {
-                if (millis < lowestUnreachableMillis) {
-                    lowestUnreachableMillis = millis;
-                    fastestUnreachable = member;
-                }
-            } else if (millis < lowestMillis) {
-                lowestMillis = millis;
-                fastest = member;
+            if (!triedNodes.contains(member.node()) && !loads.isStopping(member.node(), now)) {
+                (unreachable.test(member) ? unreachableMembers : members).add(member);
             }
         }
-        return Optional.ofNullable(fastest == null ? fastestUnreachable : fastest);
+        List<Member> candidates = members.isEmpty() ? unreachableMembers : members;
+        if (!kind.hasLargeAnswers()) {
+            return Optional.ofNullable(fasterOfTwo(candidates, kind, now));
+        }
+        Map<Boolean, List<Member>> byProximity = candidates.stream().collect(Collectors.partitioningBy(this::isNear));
+        Member near = fasterOfTwo(byProximity.get(true), kind, now);
+        Member far = fasterOfTwo(byProximity.get(false), kind, now);
+        return Optional.ofNullable(faster(near, far, kind, now));
+    }
+
+    private boolean isNear(Member member) {
+        return member.zone().equals(zone);
+    }
+
+    private Member fasterOfTwo(List<Member> members, RequestKind kind, long now) {
+        if (members.size() <= 1) {
+            return members.isEmpty() ? null : members.get(0);
+        }
+        int first = drawIndex(members.size());
+        int second = drawIndex(members.size() - 1);
+        return faster(members.get(first), members.get(second < first ? second : second + 1), kind, now);
+    }
+
+    private int drawIndex(int bound) {
+        return (int) (random.getAsDouble() * bound);
+    }
+
+    private Member faster(Member one, Member other, RequestKind kind, long now) {
+        if (one == null || other == null) {
+            return one == null ? other : one;
+        }
+        return estimateMillis(one, kind, now) <= estimateMillis(other, kind, now) ? one : other;
     }
 
     private double estimateMillis(Member member, RequestKind kind, long now) {
         double expectedMillis = loads.expectedMillis(member.node(), member.slots(), now);
-        double jitteredMillis = expectedMillis * (1 + JITTER_RATIO * (random.getAsDouble() - 0.5));
-        if (member.zone().equals(zone)) {
-            return jitteredMillis;
+        if (isNear(member)) {
+            return expectedMillis;
         }
-        return jitteredMillis + (kind.hasLargeAnswers() ? LARGE_CROSS_ZONE_COST_MILLIS : SMALL_CROSS_ZONE_COST_MILLIS);
+        return expectedMillis + (kind.hasLargeAnswers() ? LARGE_CROSS_ZONE_COST_MILLIS : SMALL_CROSS_ZONE_COST_MILLIS);
     }
 }
