Deadline of a request holds until the last byte of its answer

Callers waited past the time-out of a route for the rest of an answer that had begun: the chart entry-request cancelled the deadline in DELIVERING, and only the node beside the server had a timer left, which is no help if that node is frozen or its link is full.

DELIVERING keeps the deadline. When it passes, the attempt is withdrawn and the connection is closed, so that the partial answer does not look complete. An exchange stays known until its answer was written, so that the deadline finds it. A node that answers its open requests before it exits still lets answers that are being delivered go on.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryController.java
@@ -352,7 +352,11 @@
      */
     public void expireAll(long now, Effects effects) {
         List<Long> ids = new ArrayList<>();
-        requests.forEach((id, instance) -> ids.add(id));
+        requests.forEach((id, instance) -> {
+            if (!instance.hasTag(EntryTag.DELIVERING)) {
+                ids.add(id);
+            }
+        });
         ids.forEach(id -> requests.fire(id, EntryEvent.TIME_OVER, EntryInput.NONE, now, effects));
     }
 
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryTag.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryTag.java
@@ -5,5 +5,7 @@
     /** The controller has to select a server. */
     ROUTING,
     /** The request waits until its key has an owner that can be asked. */
-    AWAITING_KEY
+    AWAITING_KEY,
+    /** The answer is being sent to the caller. */
+    DELIVERING
 }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerConnection.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerConnection.java
@@ -195,10 +195,11 @@
 
     void endAnswer() {
         outflow.write(codec.encodeEnd());
-        CallerExchange finished = exchange;
+        CallerExchange sent = exchange;
+        exchange = null;
         outflow.whenWritable().whenResult(() -> {
-            if (finished != null) {
-                finished.onDelivered();
+            if (sent != null && server.onExchangeEnded(sent)) {
+                sent.onDelivered();
             }
         });
         finish();
@@ -208,11 +209,16 @@
         return outflow.whenWritable();
     }
 
-    /** Closes the connection in the middle of an answer, so that the partial answer does not look complete. */
-    void cut() {
-        close();
-        detachExchange();
-        server.onConnectionClosed(this);
+    /**
+     * Closes the connection in the middle of an answer, so that the partial answer does not look complete. A request
+     * that followed it on the connection has lost its caller.
+     */
+    void cut(CallerExchange broken) {
+        server.onExchangeEnded(broken);
+        if (exchange == broken) {
+            exchange = null;
+        }
+        onEnd(false);
     }
 
     private void detachExchange() {
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
@@ -138,7 +138,7 @@
             connection.fail(fail.timedOut());
         } else if (effect instanceof EntryEffect.AbortAnswer) {
             logEnd("cut", "answer broken off", 0);
-            connection.cut();
+            connection.cut(this);
         }
     }
 
@@ -281,6 +281,7 @@
         }
     }
 
+    /** Handles that all of the answer was sent. */
     void onDelivered() {
         log.recordEnd(RequestEnd.answered(request.attemptId(), request.route().name(), elapsed()), () -> logFields(0));
         core.crashReports().onAnswered(content.fingerprint(), RelayLoop.now());
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerServer.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerServer.java
@@ -161,8 +161,9 @@
         }
     }
 
-    void onExchangeEnded(CallerExchange exchange) {
-        exchanges.remove(exchange.request().id());
+    /** Forgets an exchange and returns whether it was still open. */
+    boolean onExchangeEnded(CallerExchange exchange) {
+        return exchanges.remove(exchange.request().id()) != null;
     }
 
     void onConnectionClosed(CallerConnection connection) {
--- a/verbenamast-relay/src/test/java/org/verbenamast/relay/caller/CallerServerTest.java
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/caller/CallerServerTest.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
+import com.google.protobuf.ByteString;
 import io.activej.eventloop.Eventloop;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -41,6 +42,9 @@
 import org.verbenamast.relay.RelayLoop;
 import org.verbenamast.relay.peer.PeerPool;
 import org.verbenamast.relay.telemetry.RequestCounts;
+import org.verbenamast.wire.FrameCodec;
+import org.verbenamast.wire.generated.RelayAnswer;
+import org.verbenamast.wire.generated.RelayFrame;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -50,6 +54,11 @@
     /** Number of loop steps after which a wait fails. */
     private static final int MAX_STEPS = 20_000;
 
+    private static final int MAX_FRAME_BYTES = 256 * 1024;
+    private static final int PIECE_BYTES = 8 * 1024;
+    /** More than a node keeps before it begins to deliver an answer. */
+    private static final int ANSWER_BYTES = 512 * 1024;
+
     private final Eventloop eventloop = Eventloop.builder().withCurrentThread().build();
     private final RelayCore core = new RelayCore(
             new RelaySettings(
@@ -202,4 +211,41 @@
         // then
         assertThat(server.idle()).isTrue();
     }
+
+    @Test
+    void should_break_off_an_answer_whose_rest_has_not_come_by_the_deadline() throws IOException {
+        // given
+        addOneServer();
+        send("GET /items HTTP/1.1\r\nHost: shop\r\n" + RequestFields.ATTEMPT_ID + ": 1\r\n" + RequestFields.TIME_LEFT
+                + ": 400\r\n\r\n");
+        runUntil(() -> !server.idle());
+        int sentBytes = 0;
+        try (Socket node = peer.accept()) {
+            FrameCodec<RelayFrame> codec = new FrameCodec<>(RelayFrame.getDefaultInstance(), MAX_FRAME_BYTES);
+            node.getOutputStream()
+                    .write(codec.encode(RelayFrame.newBuilder()
+                            .setAnswer(RelayAnswer.newBuilder().setStatus(200).setBodyLength(ANSWER_BYTES))
+                            .build()));
+            RelayFrame piece = RelayFrame.newBuilder()
+                    .setData(ByteString.copyFrom(new byte[PIECE_BYTES]))
+                    .build();
+            while (sentBytes < ANSWER_BYTES - PIECE_BYTES) {
+                node.getOutputStream().write(codec.encode(piece));
+                sentBytes += PIECE_BYTES;
+            }
+
+            // when
+            runUntil(() -> received("HTTP/1.1 200".length()));
+            runUntil(server::idle);
+        }
+
+        // then
+        caller.setSoTimeout(5_000);
+        byte[] answer = caller.getInputStream().readAllBytes();
+        assertThat(new String(answer, StandardCharsets.ISO_8859_1))
+                .startsWith("HTTP/1.1 200")
+                .contains("content-length: " + ANSWER_BYTES);
+        assertThat(answer).hasSizeLessThan(ANSWER_BYTES);
+        assertThat(core.entry().isIdle()).isTrue();
+    }
 }
