Large answers in flight are limited to what the host's link carries

Callers of small answers waited half a second for them, and their servers kept a slot meanwhile, while large answers filled the link of the same host. A gate admitted by slots and time alone: an answer counted as gone once it was in the buffers of the socket, so that servers went on to make answers which the link could not carry in time.

An entry node now reports when it has received all of a large answer, and the gate keeps the request in the new state SENDING until then. From the time between receipts it learns for how long an answer occupies the link, and it keeps no more requests with large answers in flight than the link carries in the time of one of them. The others wait or are refused by their expected wait; small answers are not held up by them. The assumed time is a field of the gate's log lines, so that a full link can be told from a slow server.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionAction.java
@@ -13,6 +13,13 @@
             return data.withStart(now);
         }
     },
+    /** Records when the server answered. */
+    RECORD_ANSWER {
+        @Override
+        public AdmissionData apply(AdmissionData data, AdmissionInput input, long now, Effects effects) {
+            return data.withAnswer(now);
+        }
+    },
     /** Reports to the sender that the request has not run, and why. */
     REFUSE {
         @Override
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionController.java
@@ -1,7 +1,6 @@
 package org.verbenamast.core.admission;
 
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -52,6 +51,8 @@
     /** The requests that wait for their key, by number; kept up to date like {@link #queued}. */
     private final Map<Long, AdmissionRequest> awaitingKey = new LinkedHashMap<>();
 
+    private final TransferLimit transfers = new TransferLimit(serviceTimes);
+
     private int running;
     private Optional<ServerStatus> server = Optional.empty();
     private boolean stopping;
@@ -81,6 +82,9 @@
         running += isTagged(transition.to(), AdmissionTag.RUNNING) - isTagged(transition.from(), AdmissionTag.RUNNING);
         recordMembership(queued, transition.to().hasTag(AdmissionTag.WAITING), id);
         recordMembership(awaitingKey, transition.to().hasTag(AdmissionTag.AWAITING_KEY), id);
+        boolean inFlight =
+                transition.to().hasTag(AdmissionTag.RUNNING) || transition.to().hasTag(AdmissionTag.SENDING);
+        transfers.record(id, inFlight && requests.find(id).data().request().hasLargeAnswer());
     }
 
     private void recordMembership(Map<Long, AdmissionRequest> members, boolean isMember, Long id) {
@@ -138,7 +142,7 @@
      * @param effects receives the effects
      */
     public void onRequest(AdmissionRequest request, long now, Effects effects) {
-        requests.begin(request.id(), new AdmissionData(request, serviceNanos(request), 0), now);
+        requests.begin(request.id(), new AdmissionData(request, serviceNanos(request), 0, 0), now);
         requests.fire(request.id(), AdmissionEvent.JUDGED, decide(request, now), now, effects);
     }
 
@@ -153,7 +157,9 @@
                     ? AdmissionInput.of(AdmissionInput.Verdict.AWAIT_KEY)
                     : AdmissionInput.refused(refusal.get(), 0);
         }
-        if (hasRoom(now) && queued.isEmpty()) {
+        if (hasRoom(now)
+                && transfers.allows(request)
+                && queued.values().stream().noneMatch(transfers::allows)) {
             recordDispatch(true, now);
             return AdmissionInput.of(AdmissionInput.Verdict.DISPATCH);
         }
@@ -207,23 +213,24 @@
     }
 
     /**
-     * Returns how long a request is expected to wait, in milliseconds: until it gets a slot and, while the server is
-     * cold, until it and those before it have been dispatched at the limited rate.
+     * Returns how long a request is expected to wait, in milliseconds: until it gets a slot and there is room for its
+     * answer on the node's link and, while the server is cold, until it and those before it have been dispatched at the
+     * limited rate.
      */
     private double expectedWaitMillis(AdmissionRequest request, long now) {
-        double slotWaitMillis =
-                discipline.waitMillis(request, queued.values(), server.get().slots(), now);
-        if (!isCold(now)) {
-            return slotWaitMillis;
-        }
-        int ahead = discipline.ahead(request, queued.values(), now).size();
-        return Math.max(slotWaitMillis, (ahead + 1) * 1_000 / server.get().coldPerSecond());
+        List<AdmissionRequest> ahead = discipline.ahead(request, queued.values(), now);
+        double waitMillis = Math.max(
+                discipline.waitMillis(request, queued.values(), server.get().slots(), now),
+                transfers.waitMillis(request, ahead));
+        return isCold(now)
+                ? Math.max(waitMillis, (ahead.size() + 1) * 1_000 / server.get().coldPerSecond())
+                : waitMillis;
     }
 
     private double maxWaitMillis(AdmissionRequest request, long now) {
-        return request.lastChance()
-                ? DEADLINE_WAIT_RATIO * discipline.spareMillis(request.deadlineAt(), request, now)
-                : OBJECTIVE_WAIT_RATIO * discipline.spareMillis(request.objectiveAt(), request, now);
+        double ratio = request.lastChance() ? DEADLINE_WAIT_RATIO : OBJECTIVE_WAIT_RATIO;
+        long until = request.lastChance() ? request.deadlineAt() : request.objectiveAt();
+        return ratio * (discipline.spareMillis(until, request, now) - transfers.millis(request));
     }
 
     /**
@@ -243,11 +250,29 @@
             serviceTimes.add(
                     instance.data().request().route(), now - instance.data().startedAt());
         }
-        requests.fire(id, AdmissionEvent.FINISHED, AdmissionInput.NONE, now, effects);
+        AdmissionEvent event = answered ? AdmissionEvent.ANSWERED : AdmissionEvent.BROKEN;
+        requests.fire(id, event, AdmissionInput.NONE, now, effects);
         dispatchWaiting(now, effects);
         refuseHopeless(now, effects);
     }
 
+    /**
+     * Handles that the sender has received all of a large answer; ignored if it is not known to be on its way.
+     *
+     * @param id the request's number
+     * @param now the monotonic time, in nanoseconds
+     * @param effects receives the effects
+     */
+    public void onReceived(long id, long now, Effects effects) {
+        Instance<AdmissionData> instance = requests.find(id);
+        if (instance == null || !instance.hasTag(AdmissionTag.SENDING)) {
+            return;
+        }
+        transfers.recordReceipt(instance.data().answeredAt(), now);
+        requests.fire(id, AdmissionEvent.RECEIVED, AdmissionInput.NONE, now, effects);
+        dispatchWaiting(now, effects);
+    }
+
     /**
      * Handles the withdrawal of a request by its sender.
      *
@@ -292,13 +317,20 @@
     }
 
     private void dispatchWaiting(long now, Effects effects) {
-        while (!queued.isEmpty() && hasRoom(now)) {
-            AdmissionRequest next = Collections.min(queued.values(), discipline.order(now));
-            recordDispatch(discipline.isOvertaken(next, now), now);
-            requests.fire(next.id(), AdmissionEvent.ROOM, AdmissionInput.NONE, now, effects);
+        Optional<AdmissionRequest> next = nextToDispatch(now);
+        while (next.isPresent()) {
+            recordDispatch(discipline.isOvertaken(next.get(), now), now);
+            requests.fire(next.get().id(), AdmissionEvent.ROOM, AdmissionInput.NONE, now, effects);
+            next = nextToDispatch(now);
         }
     }
 
+    private Optional<AdmissionRequest> nextToDispatch(long now) {
+        return queued.isEmpty() || !hasRoom(now)
+                ? Optional.empty()
+                : queued.values().stream().filter(transfers::allows).min(discipline.order(now));
+    }
+
     /**
      * Fires the timers that are due, then refuses or dispatches queued requests. A request that waits because the
      * server is cold is dispatched here.
@@ -329,8 +361,9 @@
      * @return the monotonic time, in nanoseconds, at which {@link #advance} has work to do
      */
     public long nextDue() {
-        boolean delayedByCold = !queued.isEmpty()
-                && server.filter(status -> running < status.slots()).isPresent();
+        boolean delayedByCold =
+                server.filter(status -> running < status.slots()).isPresent()
+                        && queued.values().stream().anyMatch(transfers::allows);
         return delayedByCold ? Math.min(requests.nextDue(), coldWindow.nextExpiry()) : requests.nextDue();
     }
 
@@ -346,6 +379,15 @@
                 running, queued.size(), slots, (int) Math.max(1, serviceTimes.millis()), isCold(now), stopping);
     }
 
+    /**
+     * Returns for how long a large answer occupies this node's link.
+     *
+     * @return the time, in milliseconds, as a moving average; 0 before the first large answer
+     */
+    public double transferMillis() {
+        return transfers.millis();
+    }
+
     /**
      * Returns whether this controller has no open requests.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionData.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionData.java
@@ -8,8 +8,9 @@
  * @param request the request
  * @param expectedServiceNanos how long the server is expected to take for the request, in nanoseconds
  * @param startedAt when the request was dispatched, in nanoseconds of the monotonic clock; 0 while it is queued
+ * @param answeredAt when the server had answered, in nanoseconds of the monotonic clock; 0 before
  */
-public record AdmissionData(AdmissionRequest request, long expectedServiceNanos, long startedAt) {
+public record AdmissionData(AdmissionRequest request, long expectedServiceNanos, long startedAt, long answeredAt) {
 
     /** Checks the request. */
     public AdmissionData {
@@ -17,6 +18,10 @@
     }
 
     AdmissionData withStart(long now) {
-        return new AdmissionData(request, expectedServiceNanos, now);
+        return new AdmissionData(request, expectedServiceNanos, now, 0);
+    }
+
+    AdmissionData withAnswer(long now) {
+        return new AdmissionData(request, expectedServiceNanos, startedAt, now);
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionEvent.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionEvent.java
@@ -14,8 +14,12 @@
     REJECTED,
     /** The sender withdrew the request. */
     WITHDRAWN,
-    /** The server answered, or its connection broke. */
-    FINISHED,
+    /** The server answered. */
+    ANSWERED,
+    /** The connection to the server broke, or the server has not run the request. */
+    BROKEN,
+    /** The sender has received all of the answer. */
+    RECEIVED,
     /** The request was queued for so long that the server can no longer answer before the deadline. */
     PATIENCE_OVER,
     /** The request's deadline has passed. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionGuard.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionGuard.java
@@ -24,5 +24,12 @@
         public boolean permits(AdmissionData data, AdmissionInput input, long now) {
             return input.verdict() == AdmissionInput.Verdict.QUEUE;
         }
+    },
+    /** The answer is large, so that its transfer takes a share of the node's link. */
+    HAS_LARGE_ANSWER {
+        @Override
+        public boolean permits(AdmissionData data, AdmissionInput input, long now) {
+            return data.request().hasLargeAnswer();
+        }
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionRequest.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionRequest.java
@@ -46,4 +46,8 @@
         Objects.requireNonNull(kind, "kind");
         Objects.requireNonNull(key, "key");
     }
+
+    boolean hasLargeAnswer() {
+        return kind.hasLargeAnswers();
+    }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionTag.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionTag.java
@@ -7,5 +7,7 @@
     /** The request is queued. */
     WAITING,
     /** The server has the request and has not answered it yet. */
-    RUNNING
+    RUNNING,
+    /** The server has answered, and its large answer is on its way to the sender. */
+    SENDING
 }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
@@ -182,7 +182,8 @@
                 .addAllFields(head.getFieldsList())
                 .setCallerService(head.getCallerService())
                 .setBodyLength(head.getBodyLength());
-        attempt = new RelayAttempt(pool, open.target().peer(), this);
+        attempt = new RelayAttempt(
+                pool, open.target().peer(), request.route().kind().hasLargeAnswers(), this);
         attempt.begin(frame.build());
     }
 
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/RelayAttempt.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/RelayAttempt.java
@@ -14,6 +14,7 @@
 import org.verbenamast.wire.generated.RelayEnd;
 import org.verbenamast.wire.generated.RelayFrame;
 import org.verbenamast.wire.generated.RelayOpen;
+import org.verbenamast.wire.generated.RelayReceived;
 import org.verbenamast.wire.generated.RelayRefused;
 import org.verbenamast.wire.relay.RelayFrames;
 
@@ -56,14 +57,17 @@
 
     private final PeerPool pool;
     private final Address address;
+    private final boolean reportsReceipt;
     private final Observer observer;
     private FrameLink link;
     private boolean bodyEnded;
     private boolean ended;
 
-    RelayAttempt(PeerPool pool, Address address, Observer observer) {
+    /** Creates an attempt; {@code reportsReceipt} tells whether the other node waits to know that the answer came. */
+    RelayAttempt(PeerPool pool, Address address, boolean reportsReceipt, Observer observer) {
         this.pool = Objects.requireNonNull(pool, "pool");
         this.address = Objects.requireNonNull(address, "address");
+        this.reportsReceipt = reportsReceipt;
         this.observer = Objects.requireNonNull(observer, "observer");
     }
 
@@ -131,6 +135,11 @@
                         frame.getAnswer(), RelayFrames.load(frame.getAnswer().getLoad()));
             case DATA -> observer.onAnswerBody(frame.getData().toByteArray());
             case END -> {
+                if (reportsReceipt) {
+                    link.send(RelayFrame.newBuilder()
+                            .setReceived(RelayReceived.getDefaultInstance())
+                            .build());
+                }
                 finish();
                 observer.onAnswerEnd();
             }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/AdmissionExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/AdmissionExchange.java
@@ -101,7 +101,8 @@
             LogField.RETRY_AFTER.of(retryAfterMillis),
             LogField.RUNNING.of(load.running()),
             LogField.QUEUED.of(load.queued()),
-            LogField.SERVICE_TIME.of(load.serviceMillis())
+            LogField.SERVICE_TIME.of(load.serviceMillis()),
+            LogField.TRANSFER_TIME.of(server.transferMillis())
         };
     }
 
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateServer.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateServer.java
@@ -114,6 +114,10 @@
         return core.admission().load(RelayLoop.now());
     }
 
+    long transferMillis() {
+        return Math.round(core.admission().transferMillis());
+    }
+
     StoreVersions storeVersions() {
         return core.follow().versions(RelayLoop.now());
     }
@@ -161,6 +165,7 @@
                 case OPEN -> open(frame.getOpen());
                 case DATA -> data(frame);
                 case END -> end();
+                case RECEIVED -> received();
                 case HEAT ->
                     loop.run((now, effects) -> core.keys().onLoadReport(RelayFrames.heat(frame.getHeat()), now));
                 case ROWS -> rows(frame);
@@ -216,6 +221,13 @@
             }
         }
 
+        private void received() {
+            if (exchange != null) {
+                long id = exchange.id();
+                loop.run((now, effects) -> core.admission().onReceived(id, now, effects));
+            }
+        }
+
         @Override
         public void onEnd() {
             links.remove(link);
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/LogField.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/LogField.java
@@ -39,6 +39,8 @@
     QUEUED("queued"),
     /** The service time that the admission controller assumes, in milliseconds. */
     SERVICE_TIME("serviceMillis"),
+    /** The time for which a large answer occupies the node's link, as the admission controller assumes. */
+    TRANSFER_TIME("transferMillis"),
     /** The host and URI of a request for which no route is known. */
     TARGET("target"),
     /** The first and the last key of a range. */
--- a/verbenamast-relay/src/test/java/org/verbenamast/relay/caller/CallerServerTest.java
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/caller/CallerServerTest.java
@@ -6,6 +6,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
@@ -43,7 +44,9 @@
 import org.verbenamast.relay.peer.PeerPool;
 import org.verbenamast.relay.telemetry.RequestCounts;
 import org.verbenamast.wire.FrameCodec;
+import org.verbenamast.wire.WireException;
 import org.verbenamast.wire.generated.RelayAnswer;
+import org.verbenamast.wire.generated.RelayEnd;
 import org.verbenamast.wire.generated.RelayFrame;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -132,8 +135,11 @@
     }
 
     private void addOneServer() {
-        Route route =
-                new Route("items", "shop", "/", RequestKind.SAFE, 60_000, 30_000, 1, 1, List.of(new Split("stock", 1)));
+        addOneServer(RequestKind.SAFE);
+    }
+
+    private void addOneServer(RequestKind kind) {
+        Route route = new Route("items", "shop", "/", kind, 60_000, 30_000, 1, 1, List.of(new Split("stock", 1)));
         ServiceRules rules = new ServiceRules("stock", 10, 0, false);
         core.manifest(new Manifest(1, List.of(route), List.of(rules), RequestLimits.DEFAULT), 0, effect -> {});
         Member member = new Member(
@@ -248,4 +254,48 @@
         assertThat(answer).hasSizeLessThan(ANSWER_BYTES);
         assertThat(core.entry().isIdle()).isTrue();
     }
+
+    @Test
+    void should_report_the_receipt_of_a_large_answer_to_the_node_that_sent_it() throws IOException {
+        // given
+        addOneServer(RequestKind.DOWNLOAD);
+        send("GET /items HTTP/1.1\r\nHost: shop\r\n" + RequestFields.ATTEMPT_ID + ": 1\r\n\r\n");
+        runUntil(() -> !server.idle());
+        FrameCodec<RelayFrame> codec = new FrameCodec<>(RelayFrame.getDefaultInstance(), MAX_FRAME_BYTES);
+        List<RelayFrame.BodyCase> received = new ArrayList<>();
+        try (Socket node = peer.accept()) {
+            runUntil(() -> receivedFrames(node, codec, received).contains(RelayFrame.BodyCase.END));
+
+            // when
+            for (RelayFrame frame : List.of(
+                    RelayFrame.newBuilder()
+                            .setAnswer(RelayAnswer.newBuilder().setStatus(200).setBodyLength(0))
+                            .build(),
+                    RelayFrame.newBuilder()
+                            .setEnd(RelayEnd.getDefaultInstance())
+                            .build())) {
+                node.getOutputStream().write(codec.encode(frame));
+            }
+            runUntil(() -> receivedFrames(node, codec, received).contains(RelayFrame.BodyCase.RECEIVED));
+        }
+
+        // then
+        assertThat(received)
+                .containsExactly(RelayFrame.BodyCase.OPEN, RelayFrame.BodyCase.END, RelayFrame.BodyCase.RECEIVED);
+    }
+
+    private static List<RelayFrame.BodyCase> receivedFrames(
+            Socket node, FrameCodec<RelayFrame> codec, List<RelayFrame.BodyCase> received) {
+        try {
+            byte[] bytes =
+                    node.getInputStream().readNBytes(node.getInputStream().available());
+            codec.received(bytes, 0, bytes.length);
+            for (RelayFrame frame = codec.next(); frame != null; frame = codec.next()) {
+                received.add(frame.getBodyCase());
+            }
+            return received;
+        } catch (IOException | WireException e) {
+            throw new AssertionError("frames of the node should be readable", e);
+        }
+    }
 }
