Test: an answer that breaks off at any byte of its head is never complete

Operators of similar systems reported a 200 with an empty or short body, framed as whole, when a server stopped in the middle of its answer's head. Every cut of a head without framing, with a length or in chunks, and the reset of an answer without a length, end as broken here: not reproduced.

--- a/verbenamast-relay/src/test/java/org/verbenamast/relay/backend/BackendCallTest.java
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/backend/BackendCallTest.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -80,6 +81,44 @@
         assertThat(new Call().run().end).isEqualTo("broken");
     }
 
+    /** Guards against an empty or short body framed as whole, when a server stopped in the head of its answer. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", "Connection: close\r\n"})
+    void should_never_complete_when_the_head_of_an_answer_breaks_off_at_any_byte(String framing) throws IOException {
+        // given
+        AtomicInteger sentBytes = new AtomicInteger();
+        serve((number, out) -> {
+            String head = OK + "X-Verbenamast-Attempt-Id: attempt-" + lastId + "\r\n" + framing + "\r\n";
+            out.write(bytes(head.substring(0, sentBytes.get())));
+            out.flush();
+            throw new IOException("the server ends the connection");
+        });
+        int headBytes = (OK + "X-Verbenamast-Attempt-Id: attempt-\r\n" + framing + "\r\n").length();
+
+        // then
+        for (int cut = 0; cut <= headBytes; cut++) {
+            sentBytes.set(cut);
+            assertThat(new Call().run().end)
+                    .as("after %d bytes of the head", cut)
+                    .isEqualTo("broken");
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"", "half"})
+    void should_never_complete_an_answer_without_length_when_its_connection_is_reset(String part) throws IOException {
+        // given
+        serve((number, out) -> {
+            out.write(bytes(OK + "X-Verbenamast-Attempt-Id: attempt-1\r\n\r\n" + part));
+            out.flush();
+            sockets.get(0).setSoLinger(true, 0);
+            throw new IOException("the server resets the connection");
+        });
+
+        // then
+        assertThat(new Call().run().end).isEqualTo("broken");
+    }
+
     /** Guards against a call that keeps or waits for what is no answer to it, without end. */
     @ParameterizedTest
     @ValueSource(
