Proof that a manifest is current is bounded by the receiver's own clock

A node took another node's word that the store had nothing newer as of the arrival of the message, less the age that it stated. A message that was on its way for seconds, through a cut link or a frozen process, proved too much, and the node put off its own call to the store by up to 12 s; it could then serve an old manifest while it counted as in contact.

The answer of a node proves no more than the time at which this node asked, less the stated age. A request of another node proves nothing, as nobody knows when it was written; it still tells of newer rows.

FollowControllerTest.should_make_its_call_within_the_contact_time_when_versions_of_others_arrive_late failed with the time of arrival: no call in 2.5 s.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowController.java
@@ -111,8 +111,7 @@
     }
 
     /**
-     * Handles the versions that another node knows. The node asks the store for what it lacks, and relies on the other
-     * node's answer from the store where that answer shows that nothing newer is there.
+     * Handles the versions that another node knew when it wrote a message. The node asks the store for what it lacks.
      *
      * @param versions the versions that the other node sent
      * @param now the monotonic time, in nanoseconds
@@ -121,8 +120,22 @@
     public void onVersions(StoreVersions versions, long now, Effects effects) {
         checkBehind(FollowedTable.SHARED, versions.sharedVersion(), now, effects);
         checkBehind(FollowedTable.OPERATORS, versions.operatorsVersion(), now, effects);
-        if (provesCurrent(versions, now)) {
-            FollowInput proof = FollowInput.ofProof(provenAt(versions, now));
+    }
+
+    /**
+     * Handles the versions in an answer of another node. Beyond {@link #onVersions}, the node relies on the other
+     * node's answer from the store where that answer shows that nothing newer was there. It was written after this node
+     * asked; how long it was on its way is not known.
+     *
+     * @param versions the versions that the other node sent
+     * @param askedAt the monotonic time when this node asked the other one, in nanoseconds
+     * @param now the monotonic time, in nanoseconds
+     * @param effects receives the effects
+     */
+    public void onAnsweredVersions(StoreVersions versions, long askedAt, long now, Effects effects) {
+        onVersions(versions, now, effects);
+        if (provesCurrent(versions, askedAt)) {
+            FollowInput proof = FollowInput.ofProof(provenAt(versions, askedAt));
             tables.fire(FollowedTable.OPERATORS, FollowEvent.PROVEN, proof, now, effects);
         }
     }
@@ -134,17 +147,26 @@
     }
 
     /**
-     * Returns whether the versions that another node knows change anything here. Those in most requests and answers do
+     * Returns whether the versions that another node knows are newer than those known here. Those in most requests are
      * not.
      *
      * @param versions the versions that the other node sent
-     * @param now the monotonic time, in nanoseconds
      * @return whether {@link #onVersions} has to be called
      */
-    public boolean isRelevant(StoreVersions versions, long now) {
+    public boolean isNews(StoreVersions versions) {
         return !knows(FollowedTable.SHARED, versions.sharedVersion())
-                || !knows(FollowedTable.OPERATORS, versions.operatorsVersion())
-                || provesCurrent(versions, now);
+                || !knows(FollowedTable.OPERATORS, versions.operatorsVersion());
+    }
+
+    /**
+     * Returns whether the versions in another node's answer change anything here. Those in most answers do not.
+     *
+     * @param versions the versions that the other node sent
+     * @param askedAt the monotonic time when this node asked the other one, in nanoseconds
+     * @return whether {@link #onAnsweredVersions} has to be called
+     */
+    public boolean isRelevant(StoreVersions versions, long askedAt) {
+        return isNews(versions) || provesCurrent(versions, askedAt);
     }
 
     private boolean knows(FollowedTable table, long latest) {
@@ -155,17 +177,17 @@
      * Returns whether the store answered a node that knows at least as new a row of the operators' table later than any
      * answer known here.
      */
-    private boolean provesCurrent(StoreVersions versions, long now) {
+    private boolean provesCurrent(StoreVersions versions, long askedAt) {
         FollowData operators = tables.find(FollowedTable.OPERATORS).data();
         long version = versions.operatorsVersion();
         return version > 0
                 && version >= operators.latest()
                 && operators.knows(version)
-                && provenAt(versions, now) > operators.provenAt();
+                && provenAt(versions, askedAt) > operators.provenAt();
     }
 
-    private static long provenAt(StoreVersions versions, long now) {
-        return now - Timing.millisToNanos(versions.operatorsAgeMillis());
+    private static long provenAt(StoreVersions versions, long askedAt) {
+        return askedAt - Timing.millisToNanos(versions.operatorsAgeMillis());
     }
 
     /**
--- a/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowControllerTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowControllerTest.java
@@ -64,7 +64,7 @@
     private void runWhileReceiving(int tenths, LongFunction<StoreVersions> versionsAtTenth) {
         for (int tenth = 0; tenth < tenths; tenth++) {
             runFor(100);
-            controller.onVersions(versionsAtTenth.apply(tenth), now, effects::add);
+            controller.onAnsweredVersions(versionsAtTenth.apply(tenth), now, now, effects::add);
         }
     }
 
@@ -75,7 +75,7 @@
     }
 
     private void receiveVersions(long operators, long ageMillis, long shared) {
-        controller.onVersions(new StoreVersions(operators, ageMillis, shared), now, effects::add);
+        controller.onAnsweredVersions(new StoreVersions(operators, ageMillis, shared), now, now, effects::add);
     }
 
     /** Leaves the last call unanswered until the controller makes the next one. */
@@ -128,6 +128,26 @@
         assertThat(calls(FollowedTable.OPERATORS)).hasSize(1);
     }
 
+    /** Guards against an old manifest that counts as current since the messages of others were on their way. */
+    @Test
+    void should_make_its_call_within_the_contact_time_when_versions_of_others_arrive_late() {
+        // given
+        startController();
+        runFor(5_000);
+        long askedAt = now - Timing.millisToNanos(5_000);
+        int before = effects.size();
+
+        // when
+        for (int tenth = 0; tenth < 25; tenth++) {
+            runFor(100);
+            controller.onVersions(new StoreVersions(7, 0, 7), now, effects::add);
+            controller.onAnsweredVersions(new StoreVersions(7, 0, 7), askedAt, now, effects::add);
+        }
+
+        // then
+        assertThat(effects.size()).isGreaterThan(before);
+    }
+
     @Test
     void should_ignore_an_answer_to_another_node_when_that_node_knows_less() {
         // given
--- a/verbenamast-core/src/test/java/org/verbenamast/core/watch/VirtualFollowers.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/watch/VirtualFollowers.java
@@ -114,7 +114,7 @@
         Node to = nodes.get(random.nextInt(nodes.size()));
         if (from != to && !cut.contains(from) && !cut.contains(to)) {
             to.controller.onVersions(from.controller.versions(now()), now(), to::execute);
-            from.controller.onVersions(to.controller.versions(now()), now(), from::execute);
+            from.controller.onAnsweredVersions(to.controller.versions(now()), now(), now(), from::execute);
         }
     }
 
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayLoop.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayLoop.java
@@ -105,16 +105,28 @@
     }
 
     /**
-     * Handles the store versions that another node knows. Runs no decision if they are not newer than the known ones.
+     * Handles the store versions in another node's request. Runs no decision if they are not newer than the known ones.
      *
      * @param versions the versions
      */
     public void onStoreVersions(StoreVersions versions) {
-        if (core.follow().isRelevant(versions, now())) {
+        if (core.follow().isNews(versions)) {
             run((now, effects) -> core.follow().onVersions(versions, now, effects));
         }
     }
 
+    /**
+     * Handles the store versions in another node's answer. Runs no decision if they change nothing.
+     *
+     * @param versions the versions
+     * @param askedAt the time when this node sent its request, in nanoseconds of the monotonic clock
+     */
+    public void onAnsweredStoreVersions(StoreVersions versions, long askedAt) {
+        if (core.follow().isRelevant(versions, askedAt)) {
+            run((now, effects) -> core.follow().onAnsweredVersions(versions, askedAt, now, effects));
+        }
+    }
+
     private void runEffects() {
         for (Effect effect = effects.poll(); effect != null; effect = effects.poll()) {
             try {
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
@@ -52,6 +52,7 @@
     private boolean answerReported;
     private boolean delivering;
     private int attempts;
+    private long attemptOpenedAt;
     private String peer = "";
 
     CallerExchange(
@@ -174,6 +175,7 @@
         answerReported = false;
         accepted = false;
         long now = RelayLoop.now();
+        attemptOpenedAt = now;
         StoreVersions versions = core.follow().versions(now);
         RelayOpen.Builder frame = RelayFrames.open(request, open.target(), open.lastChance(), versions, now)
                 .setMethod(head.getMethod())
@@ -215,7 +217,7 @@
 
     @Override
     public void onStoreVersions(StoreVersions versions) {
-        loop.onStoreVersions(versions);
+        loop.onAnsweredStoreVersions(versions, attemptOpenedAt);
     }
 
     @Override
