Large answers: dispatched only while they can still be received in time

Callers got large answers too late, or a failure after the whole time-out, where a link was full: the queue reckoned with the time that the server takes and not with the transfer, so that requests were dispatched whose answers could not arrive before their deadline.

The time of an answer is now the server's time and the transfer, wherever the queue compares it with an objective or a deadline, and the wait for the link counts in the review of queued requests too.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionController.java
@@ -44,15 +44,14 @@
     private final AdmissionRules rules;
     private final ColdWindow coldWindow = new ColdWindow();
     private final ServiceTimes serviceTimes = new ServiceTimes();
-    private final QueueDiscipline discipline = new QueueDiscipline(serviceTimes);
+    private final TransferLimit transfers = new TransferLimit(serviceTimes);
+    private final QueueDiscipline discipline = new QueueDiscipline(serviceTimes, transfers);
     /** The queued requests by number, kept up to date by the transitions of the chart. */
     private final Map<Long, AdmissionRequest> queued = new LinkedHashMap<>();
 
     /** The requests that wait for their key, by number; kept up to date like {@link #queued}. */
     private final Map<Long, AdmissionRequest> awaitingKey = new LinkedHashMap<>();
 
-    private final TransferLimit transfers = new TransferLimit(serviceTimes);
-
     private int running;
     private Optional<ServerStatus> server = Optional.empty();
     private boolean stopping;
@@ -142,12 +141,12 @@
      * @param effects receives the effects
      */
     public void onRequest(AdmissionRequest request, long now, Effects effects) {
-        requests.begin(request.id(), new AdmissionData(request, serviceNanos(request), 0, 0), now);
+        requests.begin(request.id(), new AdmissionData(request, answerNanos(request), 0, 0), now);
         requests.fire(request.id(), AdmissionEvent.JUDGED, decide(request, now), now, effects);
     }
 
-    private long serviceNanos(AdmissionRequest request) {
-        return (long) (serviceTimes.millis(request.route()) * Timing.NANOS_PER_MILLI);
+    private long answerNanos(AdmissionRequest request) {
+        return (long) (discipline.answerMillis(request) * Timing.NANOS_PER_MILLI);
     }
 
     private AdmissionInput decide(AdmissionRequest request, long now) {
@@ -218,19 +217,19 @@
      * limited rate.
      */
     private double expectedWaitMillis(AdmissionRequest request, long now) {
-        List<AdmissionRequest> ahead = discipline.ahead(request, queued.values(), now);
-        double waitMillis = Math.max(
-                discipline.waitMillis(request, queued.values(), server.get().slots(), now),
-                transfers.waitMillis(request, ahead));
-        return isCold(now)
-                ? Math.max(waitMillis, (ahead.size() + 1) * 1_000 / server.get().coldPerSecond())
-                : waitMillis;
+        double waitMillis =
+                discipline.waitMillis(request, queued.values(), server.get().slots(), now);
+        if (!isCold(now)) {
+            return waitMillis;
+        }
+        int ahead = discipline.ahead(request, queued.values(), now).size();
+        return Math.max(waitMillis, (ahead + 1) * 1_000 / server.get().coldPerSecond());
     }
 
     private double maxWaitMillis(AdmissionRequest request, long now) {
         double ratio = request.lastChance() ? DEADLINE_WAIT_RATIO : OBJECTIVE_WAIT_RATIO;
         long until = request.lastChance() ? request.deadlineAt() : request.objectiveAt();
-        return ratio * (discipline.spareMillis(until, request, now) - transfers.millis(request));
+        return ratio * discipline.spareMillis(until, request, now);
     }
 
     /**
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionData.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionData.java
@@ -6,11 +6,12 @@
  * The state of a request at the admission controller.
  *
  * @param request the request
- * @param expectedServiceNanos how long the server is expected to take for the request, in nanoseconds
+ * @param expectedAnswerNanos how long it is expected to take from the dispatch until the sender has the answer, in
+ *     nanoseconds
  * @param startedAt when the request was dispatched, in nanoseconds of the monotonic clock; 0 while it is queued
  * @param answeredAt when the server had answered, in nanoseconds of the monotonic clock; 0 before
  */
-public record AdmissionData(AdmissionRequest request, long expectedServiceNanos, long startedAt, long answeredAt) {
+public record AdmissionData(AdmissionRequest request, long expectedAnswerNanos, long startedAt, long answeredAt) {
 
     /** Checks the request. */
     public AdmissionData {
@@ -18,10 +19,10 @@
     }
 
     AdmissionData withStart(long now) {
-        return new AdmissionData(request, expectedServiceNanos, now, 0);
+        return new AdmissionData(request, expectedAnswerNanos, now, 0);
     }
 
     AdmissionData withAnswer(long now) {
-        return new AdmissionData(request, expectedServiceNanos, startedAt, now);
+        return new AdmissionData(request, expectedAnswerNanos, startedAt, now);
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionTimer.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionTimer.java
@@ -14,7 +14,7 @@
 
         @Override
         public long delayNanos(AdmissionData data, long now) {
-            return Math.max(0, data.request().deadlineAt() - data.expectedServiceNanos() - now);
+            return Math.max(0, data.request().deadlineAt() - data.expectedAnswerNanos() - now);
         }
     },
     /** Fires when a request has waited for its key for as long as it may. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/QueueDiscipline.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/QueueDiscipline.java
@@ -24,10 +24,17 @@
     private static final double MIN_LEFT_OVER = 0.01;
 
     private final ServiceTimes serviceTimes;
+    private final TransferLimit transfers;
     private double leftOver = 1;
 
-    QueueDiscipline(ServiceTimes serviceTimes) {
+    QueueDiscipline(ServiceTimes serviceTimes, TransferLimit transfers) {
         this.serviceTimes = Objects.requireNonNull(serviceTimes, "serviceTimes");
+        this.transfers = Objects.requireNonNull(transfers, "transfers");
+    }
+
+    /** Returns how long it takes from the dispatch of a request until its sender has the answer, in milliseconds. */
+    double answerMillis(AdmissionRequest request) {
+        return serviceTimes.millis(request.route()) + transfers.millis(request);
     }
 
     /** Returns the order of dispatch: by priority, then requests that are not overtaken, then by what is due first. */
@@ -44,7 +51,7 @@
     }
 
     private boolean canMeetObjective(AdmissionRequest request, long now) {
-        return millisLeft(request.objectiveAt(), now) >= serviceTimes.millis(request.route());
+        return millisLeft(request.objectiveAt(), now) >= answerMillis(request);
     }
 
     private boolean isShort(AdmissionRequest request) {
@@ -61,18 +68,21 @@
     }
 
     /**
-     * Returns the time until a slot is expected to be free for a request, in milliseconds. If a new request is going to
-     * miss its objective while it waits, it is expected to be overtaken from then on.
+     * Returns the time until a request is expected to be dispatched, in milliseconds: until a slot is free and, for a
+     * large answer, there is room on the link. If a new request is going to miss its objective while it waits, it is
+     * expected to be overtaken from then on.
      */
     double waitMillis(AdmissionRequest request, Collection<AdmissionRequest> queued, int slots, long now) {
         List<AdmissionRequest> ahead = ahead(request, queued, now);
         int overtakenAhead = countOvertaken(ahead, now);
-        double waitMillis = waitMillis(isOvertaken(request, now), ahead.size(), overtakenAhead, slots);
+        double linkMillis = transfers.waitMillis(request, ahead);
+        double waitMillis =
+                Math.max(linkMillis, slotMillis(isOvertaken(request, now), ahead.size(), overtakenAhead, slots));
         if (waitMillis <= spareMillis(request.objectiveAt(), request, now) || isShort(request)) {
             return waitMillis;
         }
         int overtaken = Math.max(overtakenAhead, countOvertaken(queued, now));
-        return waitMillis(true, ahead.size() - overtakenAhead + overtaken, overtaken, slots);
+        return Math.max(linkMillis, slotMillis(true, ahead.size() - overtakenAhead + overtaken, overtaken, slots));
     }
 
     private int countOvertaken(Collection<AdmissionRequest> requests, long now) {
@@ -83,11 +93,11 @@
         return count;
     }
 
-    private double waitMillis(boolean isOvertaken, int ahead, int overtakenAhead, int slots) {
-        double slotMillis = serviceTimes.millis() / slots;
+    private double slotMillis(boolean isOvertaken, int ahead, int overtakenAhead, int slots) {
+        double perDispatch = serviceTimes.millis() / slots;
         return isOvertaken
-                ? (ahead - overtakenAhead + (overtakenAhead + 1) / Math.max(MIN_LEFT_OVER, leftOver)) * slotMillis
-                : (ahead + 1) * slotMillis;
+                ? (ahead - overtakenAhead + (overtakenAhead + 1) / Math.max(MIN_LEFT_OVER, leftOver)) * perDispatch
+                : (ahead + 1) * perDispatch;
     }
 
     /** Returns the queued requests that are dispatched before a request, if no more arrive. */
@@ -102,21 +112,22 @@
         return ahead;
     }
 
-    /** Returns the queued requests that are overtaken and will not get a slot in time to be answered. */
+    /** Returns the queued requests that are overtaken and will not be dispatched in time to be answered. */
     List<AdmissionRequest> hopeless(Collection<AdmissionRequest> queued, int slots, long now) {
         List<AdmissionRequest> ordered = new ArrayList<>(queued);
         ordered.sort(order(now));
         List<AdmissionRequest> hopeless = new ArrayList<>();
-        int ahead = 0;
+        List<AdmissionRequest> ahead = new ArrayList<>();
         int overtakenAhead = 0;
         for (AdmissionRequest request : ordered) {
             boolean isOvertaken = isOvertaken(request, now);
-            double waitMillis = waitMillis(isOvertaken, ahead, overtakenAhead, slots);
+            double waitMillis = Math.max(
+                    transfers.waitMillis(request, ahead), slotMillis(isOvertaken, ahead.size(), overtakenAhead, slots));
             if (isOvertaken && waitMillis > spareMillis(request.deadlineAt(), request, now)) {
                 hopeless.add(request);
                 continue;
             }
-            ahead++;
+            ahead.add(request);
             overtakenAhead += isOvertaken ? 1 : 0;
         }
         return hopeless;
@@ -124,7 +135,7 @@
 
     /** Returns the time until a request has to be dispatched to be answered by a given time, in milliseconds. */
     double spareMillis(long at, AdmissionRequest request, long now) {
-        return millisLeft(at, now) - serviceTimes.millis(request.route());
+        return millisLeft(at, now) - answerMillis(request);
     }
 
     private static double millisLeft(long at, long now) {
--- a/verbenamast-core/src/test/java/org/verbenamast/core/admission/TransferMeasureTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/admission/TransferMeasureTest.java
@@ -10,7 +10,8 @@
 import java.util.Random;
 import java.util.function.Consumer;
 
-import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.verbenamast.core.chart.TransitionListener;
 import org.verbenamast.core.effect.Effect;
 import org.verbenamast.core.manifest.RequestKind;
@@ -79,6 +80,7 @@
     /** One play; counts the requests that were answered in time. */
     private static final class Link {
         private final Receipts receipts;
+        private final boolean lastChance;
         private final Random random;
         private final AdmissionController controller =
                 new AdmissionController(new AllPermitted(), TransitionListener.NONE);
@@ -91,8 +93,9 @@
         private double linkFreeAt;
         private long last;
 
-        private Link(Receipts receipts, long seed) {
+        private Link(Receipts receipts, boolean lastChance, long seed) {
             this.receipts = receipts;
+            this.lastChance = lastChance;
             random = new Random(seed);
             ServerStatus status = new ServerStatus(INCARNATION, "s", SLOTS, 0, 0, 0);
             controller.onServerStatus(Optional.of(status), nanos(), effect -> {});
@@ -135,7 +138,7 @@
                     load.kind,
                     load.priority,
                     OptionalInt.empty(),
-                    false,
+                    lastChance,
                     nanos(),
                     nanos() + (long) (load.objectiveMillis * Timing.NANOS_PER_MILLI),
                     nanos() + (long) (load.deadlineMillis * Timing.NANOS_PER_MILLI));
@@ -206,21 +209,22 @@
         }
     }
 
-    private static Link play(Receipts receipts, long seed) {
-        Link link = new Link(receipts, seed);
+    private static Link play(Receipts receipts, boolean lastChance, long seed) {
+        Link link = new Link(receipts, lastChance, seed);
         link.play();
         System.out.printf(
-                "transfer, receipts %s, seed %d: large in time %.3f, short in time %.3f%n",
-                receipts, seed, link.shareInTime(Load.LARGE), link.shareInTime(Load.SHORT));
+                "transfer, receipts %s, last chance %s, seed %d: large in time %.3f, short in time %.3f%n",
+                receipts, lastChance, seed, link.shareInTime(Load.LARGE), link.shareInTime(Load.SHORT));
         return link;
     }
 
-    @Test
-    void should_keep_the_link_free_for_short_answers_when_large_ones_exceed_it() {
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void should_keep_the_link_free_for_short_answers_when_large_ones_exceed_it(boolean lastChance) {
         for (long seed = 1; seed <= 5; seed++) {
             // when
-            Link controlled = play(Receipts.REPORTED, seed);
-            Link assumed = play(Receipts.ASSUMED, seed);
+            Link controlled = play(Receipts.REPORTED, lastChance, seed);
+            Link assumed = play(Receipts.ASSUMED, lastChance, seed);
 
             // then
             for (Load load : Load.values()) {
