Break-off of an answer: the request after it is withdrawn too

A caller that pipelined a request behind an answer which is broken off at its deadline has gone; the withdrawal of that request was decided only after its exchange had been forgotten, and its server worked on. The loss of the caller is now the next decision. Found by reading, not seen in a run.

--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerConnection.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerConnection.java
@@ -218,7 +218,12 @@
         if (exchange == broken) {
             exchange = null;
         }
-        onEnd(false);
+        close();
+        server.onConnectionClosed(this);
+        if (exchange != null) {
+            // The decision that broke off the answer is still running; the loss of the caller is the next one.
+            Reactor.getCurrentReactor().post(() -> onEnd(false));
+        }
     }
 
     private void detachExchange() {
