Test of a follower that starts over with each call; fails

The test shows the missing version alone: it expects the next call to ask after version 9 and finds 7.

--- a/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowControllerTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowControllerTest.java
@@ -175,6 +175,27 @@
         assertThat(lastCall().afterVersion()).isEqualTo(7);
     }
 
+    /** Guards against a node that never catches up: each call asks for all rows anew and is replaced before it ends. */
+    @Test
+    void should_ask_only_for_newer_rows_when_the_answer_to_a_replaced_call_has_brought_some() {
+        // given
+        startController();
+        FollowEffect.Await replaced = lastCall();
+        runWhileReceiving(12, tenth -> new StoreVersions(9, 0, 7));
+        assertThat(lastCall().callId()).isGreaterThan(replaced.callId());
+
+        // when
+        FollowInput rows = FollowInput.ofAnswer(9, 9, false);
+        controller.onCallEnded(
+                FollowedTable.OPERATORS, replaced.callId(), FollowEvent.CHANGED, rows, now, effects::add);
+        int before = calls(FollowedTable.OPERATORS).size();
+        runWhileReceiving(25, tenth -> new StoreVersions(12, 0, 7));
+
+        // then
+        assertThat(calls(FollowedTable.OPERATORS)).hasSizeGreaterThan(before);
+        assertThat(lastCall().afterVersion()).isEqualTo(9);
+    }
+
     @Test
     void should_make_no_call_when_the_row_that_another_node_knew_has_arrived() {
         // given
