Timings of the calls that follow the store's tables are logged

When a manifest comes into force late, the log says that a call was pending or replaced, and not whether the store had not begun to answer, the answer was on its way, or the node was busy with it.

StoreResponse carries a ResponseTiming: time of the call, of the first and of the latest part, length of the body so far, also of a response that broke off. FollowLog writes one line for each followed call that brings rows or fails: table, call, version asked after and answered, rows, bytes, milliseconds to the first byte, to the last one, and for decoding and applying. Empty answers have no line; a read in pages has one for all of its pages. The line of a failed call replaces "a call that follows table ... failed"; a call whose history is gone had none.

The first byte of a call that waits comes after the wait, so that a slow store shows in reads of all rows, or where the version asked after is older than the store's when the call begins.

No line of a real node has been looked at yet.

--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
@@ -26,6 +26,7 @@
 import org.verbenamast.platform.StoreMessage;
 import org.verbenamast.platform.StoreMessage.RawRow;
 import org.verbenamast.platform.StoreMessage.Rows;
+import org.verbenamast.relay.RelayLoop;
 
 /** The client of the platform's store. It sends each call that a decision asks for once, without retries. */
 public final class StoreClient implements AutoCloseable {
@@ -132,7 +133,7 @@
      */
     public void run(FollowEffect effect) {
         if (effect instanceof FollowEffect.ReadAll all) {
-            readPages(all, "", new ArrayList<>());
+            readPages(all, "", List.of(), ResponseTiming.of(RelayLoop.now()));
         } else if (effect instanceof FollowEffect.Await await) {
             awaitChanges(await);
         }
@@ -142,23 +143,30 @@
         return table == FollowedTable.OPERATORS ? StoreMessage.OPERATORS_TABLE : StoreRows.SHARED_TABLE;
     }
 
-    private void readPages(FollowEffect.ReadAll all, String fromKey, List<RawRow> previousPages) {
+    private void readPages(
+            FollowEffect.ReadAll all, String fromKey, List<RawRow> previousPages, ResponseTiming previousTiming) {
         connections
                 .send(StoreMessage.read(tableOf(all.table()), fromKey, MAX_PAGE_ROWS), CALL_TIMEOUT_MILLIS)
                 .whenResult(response -> {
+                    long receivedAt = RelayLoop.now();
+                    ResponseTiming timing = previousTiming.withNextPage(response.timing());
                     Either<PlatformFault, Rows> rows = rowsOf(response);
                     if (rows.isLeft()) {
-                        onFollowFailed(all.table(), all.callId(), rows.getLeft());
+                        FollowLog.failed(
+                                all.table(), all.callId(), 0, rows.getLeft().detail(), timing);
+                        observer.onFollowResult(all.table(), all.callId(), FollowEvent.FAILED, FollowInput.NONE);
                         return;
                     }
                     List<RawRow> read = new ArrayList<>(previousPages);
                     read.addAll(rows.get().rows());
                     if (rows.get().more() && !rows.get().rows().isEmpty()) {
                         String last = read.get(read.size() - 1).key();
-                        readPages(all, last + '\0', read);
+                        readPages(all, last + '\0', read, timing);
                         return;
                     }
                     long latest = applyAll(all.table(), read, rows.get().version());
+                    FollowLog.answered(
+                            all.table(), all.callId(), 0, rows.get().version(), read.size(), timing, receivedAt);
                     FollowInput input = FollowInput.ofAnswer(rows.get().version(), latest, false);
                     observer.onFollowResult(all.table(), all.callId(), FollowEvent.READ, input);
                 });
@@ -178,27 +186,39 @@
         return rows;
     }
 
-    private void onFollowFailed(FollowedTable table, long callId, PlatformFault fault) {
-        LOG.info("a call that follows table {} failed: {}", table, fault.detail());
-        observer.onFollowResult(table, callId, FollowEvent.FAILED, FollowInput.NONE);
+    private void onAwaitFailed(FollowEffect.Await await, FollowEvent event, String cause, ResponseTiming timing) {
+        FollowLog.failed(await.table(), await.callId(), await.afterVersion(), cause, timing);
+        observer.onFollowResult(await.table(), await.callId(), event, FollowInput.NONE);
     }
 
     private void awaitChanges(FollowEffect.Await await) {
         FollowedTable table = await.table();
         StoreMessage.Call call = StoreMessage.follow(tableOf(table), await.afterVersion(), await.waitMillis());
         connections.send(call, await.timeoutMillis()).whenResult(response -> {
+            long receivedAt = RelayLoop.now();
             if (response.gone()) {
-                observer.onFollowResult(table, await.callId(), FollowEvent.HISTORY_GONE, FollowInput.NONE);
+                onAwaitFailed(await, FollowEvent.HISTORY_GONE, "the history is gone", response.timing());
                 return;
             }
             Either<PlatformFault, Rows> rows = rowsOf(response);
             if (rows.isLeft()) {
-                onFollowFailed(table, await.callId(), rows.getLeft());
+                onAwaitFailed(await, FollowEvent.FAILED, rows.getLeft().detail(), response.timing());
                 return;
             }
             List<RawRow> changed = rows.get().rows();
             long latest = applyChanges(table, changed);
-            FollowInput input = FollowInput.ofAnswer(rows.get().version(), latest, changed.isEmpty());
+            long version = rows.get().version();
+            if (!changed.isEmpty()) {
+                FollowLog.answered(
+                        table,
+                        await.callId(),
+                        await.afterVersion(),
+                        version,
+                        changed.size(),
+                        response.timing(),
+                        receivedAt);
+            }
+            FollowInput input = FollowInput.ofAnswer(version, latest, changed.isEmpty());
             observer.onFollowResult(table, await.callId(), FollowEvent.CHANGED, input);
         });
     }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreConnectionPool.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreConnectionPool.java
@@ -19,6 +19,7 @@
 import org.slf4j.LoggerFactory;
 import org.verbenamast.core.model.Address;
 import org.verbenamast.platform.StoreMessage;
+import org.verbenamast.relay.RelayLoop;
 import org.verbenamast.relay.net.HttpLink;
 
 /** Sends calls to the store, each on a connection that no other call uses at the same time. */
@@ -43,30 +44,32 @@
 
     /**
      * Sends a call and waits for the whole response. The promise never fails; it yields
-     * {@link StoreResponse#NO_RESPONSE} or {@link StoreResponse#UNSENT} instead.
+     * {@link StoreResponse#missing} or {@link StoreResponse#unsent} instead.
      */
     Promise<StoreResponse> send(StoreMessage.Call call, long timeoutMillis) {
+        ResponseTiming timing = ResponseTiming.of(RelayLoop.now());
         for (HttpLink link = idle.poll(); link != null; link = idle.poll()) {
             if (link.reusable()) {
-                return send(link, call, timeoutMillis);
+                return send(link, call, timeoutMillis, timing);
             }
             link.close();
         }
         return HttpLink.connect(eventloop, store, CONNECT_TIMEOUT_MILLIS)
                 .then(
-                        link -> send(link, call, timeoutMillis),
+                        link -> send(link, call, timeoutMillis, timing),
                         // Without a connection, nothing was sent.
-                        e -> Promise.of(StoreResponse.UNSENT));
+                        e -> Promise.of(StoreResponse.unsent(timing)));
     }
 
-    private Promise<StoreResponse> send(HttpLink link, StoreMessage.Call call, long timeoutMillis) {
-        SettablePromise<StoreResponse> response = new SettablePromise<>();
-        ScheduledRunnable timeout = eventloop.delayBackground(timeoutMillis, () -> {
+    private Promise<StoreResponse> send(
+            HttpLink link, StoreMessage.Call call, long timeoutMillis, ResponseTiming timing) {
+        ResponseCollector collector = new ResponseCollector(link, timing);
+        collector.timeout = eventloop.delayBackground(timeoutMillis, () -> {
             link.close();
-            response.trySet(StoreResponse.NO_RESPONSE);
+            collector.onFailure();
         });
-        link.begin(request(call), new ResponseCollector(link, response, timeout));
-        return response;
+        link.begin(request(call), collector);
+        return collector.response;
     }
 
     private DefaultFullHttpRequest request(StoreMessage.Call call) {
@@ -92,24 +95,26 @@
     private final class ResponseCollector implements HttpLink.Answers {
 
         private final HttpLink link;
-        private final SettablePromise<StoreResponse> response;
-        private final ScheduledRunnable timeout;
+        private final SettablePromise<StoreResponse> response = new SettablePromise<>();
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private ScheduledRunnable timeout;
+        private ResponseTiming timing;
         private int status;
 
-        private ResponseCollector(HttpLink link, SettablePromise<StoreResponse> response, ScheduledRunnable timeout) {
+        private ResponseCollector(HttpLink link, ResponseTiming timing) {
             this.link = link;
-            this.response = response;
-            this.timeout = timeout;
+            this.timing = timing;
         }
 
         @Override
         public void onHead(HttpResponse head) {
             status = head.status().code();
+            timing = timing.withPart(0, RelayLoop.now());
         }
 
         @Override
         public void onBody(byte[] bytes) {
+            timing = timing.withPart(bytes.length, RelayLoop.now());
             if (body.size() + bytes.length > MAX_BODY_BYTES) {
                 LOG.warn("closing a connection to the store: its response exceeds {} bytes", MAX_BODY_BYTES);
                 link.close();
@@ -124,13 +129,13 @@
             timeout.cancel();
             link.release();
             idle.add(link);
-            response.trySet(new StoreResponse(status, body.toByteArray()));
+            response.trySet(new StoreResponse(status, body.toByteArray(), timing));
         }
 
         @Override
         public void onFailure() {
             timeout.cancel();
-            response.trySet(StoreResponse.NO_RESPONSE);
+            response.trySet(StoreResponse.missing(timing));
         }
 
         @Override
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreResponse.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreResponse.java
@@ -7,8 +7,9 @@
  *
  * @param status the HTTP status; 0 if the store sent no response
  * @param body the body; empty if there is none
+ * @param timing when the parts of the response arrived, also if it is not complete
  */
-record StoreResponse(int status, byte[] body) {
+record StoreResponse(int status, byte[] body, ResponseTiming timing) {
 
     private static final int OK = 200;
     private static final int PRECONDITION_FAILED = 412;
@@ -16,9 +17,15 @@
     private static final int TOO_MANY_REQUESTS = 429;
     private static final int SERVICE_UNAVAILABLE = 503;
 
-    static final StoreResponse NO_RESPONSE = new StoreResponse(0, new byte[0]);
-    /** Stands for a call that was never sent, so that it certainly had no effect. */
-    static final StoreResponse UNSENT = new StoreResponse(SERVICE_UNAVAILABLE, new byte[0]);
+    /** Returns what stands for a response that did not arrive, or not as a whole. */
+    static StoreResponse missing(ResponseTiming timing) {
+        return new StoreResponse(0, new byte[0], timing);
+    }
+
+    /** Returns what stands for a call that was never sent, so that it certainly had no effect. */
+    static StoreResponse unsent(ResponseTiming timing) {
+        return new StoreResponse(SERVICE_UNAVAILABLE, new byte[0], timing);
+    }
 
     boolean ok() {
         return status == OK;
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/LogField.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/LogField.java
@@ -50,7 +50,23 @@
     /** The chart in which the state changed. */
     CHART("chart"),
     /** The object whose state changed: a server incarnation, a table or a service. */
-    SUBJECT("subject");
+    SUBJECT("subject"),
+    /** The number of a call that follows a table of the store. */
+    CALL("call"),
+    /** The version after which a call asked for changes; 0 if it asked for all rows. */
+    AFTER_VERSION("afterVersion"),
+    /** The store's version as of an answer. */
+    STORE_VERSION("storeVersion"),
+    /** The number of rows in an answer of the store. */
+    ROWS("rows"),
+    /** The length of the body that has arrived. */
+    BYTES("bytes"),
+    /** Time from a call to the first byte of its answer, in milliseconds. */
+    FIRST_BYTE_TIME("firstByteMillis"),
+    /** Time from the first byte of an answer to the last one that arrived, in milliseconds. */
+    RECEIVE_TIME("receiveMillis"),
+    /** Time for decoding an answer and applying its rows, in milliseconds. */
+    APPLY_TIME("applyMillis");
 
     /** Longer values are truncated; ids and targets come from callers and may have any length. */
     private static final int MAX_CHARACTERS = 200;
