Fleet on virtual time: answers share a link, nodes freeze

A change of the manifest that had been confirmed was not in force in time at some nodes. In the simulated fleet an answer arrived as soon as it was written, so that no call was replaced or timed out while its answer was on its way.

In VirtualFollowers an answer with rows takes a time, which all answers that are arriving at the node share, those of replaced calls too. A call that outlasts its time-out while its answer arrives fails. A frozen node handles nothing, while its answers go on arriving. Changes are measured as the platform does: for how long a node that has been without impairment for 3 s lacks a change that was made.

Cause that the first case shows: a waiting call that the silence time-out replaces stays pending at the store.

--- a/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowFleetTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowFleetTest.java
@@ -1,5 +1,9 @@
 package org.verbenamast.core.watch;
 
+import java.util.List;
+import java.util.function.ToLongFunction;
+import java.util.stream.LongStream;
+
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -17,6 +21,14 @@
     /** Call rate of a node that makes a call every 1.7 s regardless of what other nodes know. */
     private static final double FIXED_INTERVAL_CALLS_PER_SECOND = 1_000.0 / 1_700;
 
+    /** Time after a change within which the platform expects nodes in contact to act on it. */
+    private static final long CONFIG_APPLY_MILLIS = 2_500;
+
+    /** Interval between changes, shorter than an answer with a large row takes on a slow link. */
+    private static final long CHANGE_INTERVAL_MILLIS = 300;
+
+    private static final int LARGE_FLEET = 88;
+
     private static final long MINUTE_MILLIS = 60_000;
     private static final long MAX_MILLIS = 30_000;
 
@@ -97,4 +109,84 @@
         // then
         assertThat(fleet.millisUntilAllKnow(MAX_MILLIS)).isLessThan(CONTACT_MILLIS);
     }
+
+    /** Starts a large fleet for each of several seeds and returns what is measured on each. */
+    private static List<Long> onLargeFleets(ToLongFunction<VirtualFollowers> measured) {
+        List<Long> results = LongStream.rangeClosed(1, 4)
+                .map(seed -> measured.applyAsLong(started(LARGE_FLEET, seed, true)))
+                .boxed()
+                .toList();
+        System.out.println("measured on the fleets: " + results);
+        return results;
+    }
+
+    @Test
+    void should_know_a_change_within_the_apply_time_when_calls_that_were_replaced_are_answered_too() {
+        List<Long> delays = onLargeFleets(fleet -> {
+            fleet.answersTake(700);
+            fleet.change();
+            return fleet.millisUntilAllKnow(MAX_MILLIS);
+        });
+
+        assertThat(delays).allMatch(delay -> delay < CONFIG_APPLY_MILLIS);
+    }
+
+    @Test
+    void should_know_a_change_within_the_apply_time_when_its_answer_takes_most_of_it() {
+        List<Long> delays = onLargeFleets(fleet -> {
+            fleet.answersTake(2_000);
+            fleet.change();
+            return fleet.millisUntilAllKnow(MAX_MILLIS);
+        });
+
+        assertThat(delays).allMatch(delay -> delay < CONFIG_APPLY_MILLIS);
+    }
+
+    @Test
+    void should_know_each_change_within_the_apply_time_when_changes_come_faster_than_answers() {
+        List<Long> delays = onLargeFleets(fleet -> {
+            fleet.answersTake(700);
+            return fleet.changeRepeatedly(20, CHANGE_INTERVAL_MILLIS);
+        });
+
+        assertThat(delays).allMatch(delay -> delay < CONFIG_APPLY_MILLIS);
+    }
+
+    @Test
+    void should_know_each_change_within_the_apply_time_when_nodes_were_frozen_while_changes_came() {
+        List<Long> delays = onLargeFleets(fleet -> {
+            fleet.answersTake(400);
+            fleet.freeze(0.15);
+            fleet.runFor(500);
+            fleet.changeRepeatedly(10, CHANGE_INTERVAL_MILLIS);
+            fleet.wake();
+            return Math.max(fleet.changeRepeatedly(20, CHANGE_INTERVAL_MILLIS), fleet.millisUntilAllKnow(MAX_MILLIS));
+        });
+
+        assertThat(delays).allMatch(delay -> delay < CONFIG_APPLY_MILLIS);
+    }
+
+    @Test
+    void should_know_each_change_within_the_apply_time_when_answers_were_slow_until_the_contact_time_ago() {
+        List<Long> delays = onLargeFleets(fleet -> {
+            fleet.answersTake(3_000);
+            fleet.changeRepeatedly(12, CHANGE_INTERVAL_MILLIS);
+            fleet.answersTake(600);
+            fleet.changeRepeatedly((int) (CONTACT_MILLIS / CHANGE_INTERVAL_MILLIS), CHANGE_INTERVAL_MILLIS);
+            return fleet.changeRepeatedly(40, CHANGE_INTERVAL_MILLIS);
+        });
+
+        assertThat(delays).allMatch(delay -> delay < CONFIG_APPLY_MILLIS);
+    }
+
+    @Test
+    void should_break_off_no_answer_when_it_is_still_arriving() {
+        List<Long> brokenOff = onLargeFleets(fleet -> {
+            fleet.answersTake(400);
+            fleet.changeRepeatedly(10, CHANGE_INTERVAL_MILLIS);
+            return fleet.brokenOffAnswers();
+        });
+
+        assertThat(brokenOff).containsOnly(0L);
+    }
 }
--- a/verbenamast-core/src/test/java/org/verbenamast/core/watch/VirtualFollowers.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/watch/VirtualFollowers.java
@@ -11,8 +11,8 @@
 import org.verbenamast.core.node.Timing;
 
 /**
- * Simulates nodes that follow the operators' rows, in virtual time: the store, requests between the nodes, and a
- * network that can cut nodes off.
+ * Simulates nodes that follow the operators' rows, in virtual time: the store, requests between the nodes, a network
+ * that can cut nodes off, links that answers with rows share, and processes that can be frozen.
  */
 final class VirtualFollowers {
 
@@ -21,16 +21,67 @@
 
     private static final long STEP_MILLIS = 10;
 
+    /** Time without impairment after which the platform counts a node as in contact. */
+    private static final long CONTACT_MILLIS = 3_000;
+
     private final Random random;
     private final List<Node> nodes = new ArrayList<>();
     private final Set<Node> cut = new HashSet<>();
+    private final Set<Node> frozen = new HashSet<>();
+    private final List<Long> changedAt = new ArrayList<>();
     private final boolean exchanging;
     private long millis = 1_000;
     private long version = 1;
     private long calls;
+    private long transferMillis;
+    private long overdueMillis;
+    private int brokenOff;
+
+    /**
+     * A call that is pending at the store, or that was lost in the network and ends by its time-out.
+     *
+     * @param await the call
+     * @param startedAt the time of the call, in milliseconds
+     * @param endsAt the time when the store answers without rows or, if the call was lost, of its time-out, in
+     *     milliseconds
+     * @param lost whether the call was lost
+     * @param answer the version that the store has answered with; 0 while it waits for a change
+     * @param left the share of the answer that has not arrived, from 0 to 1
+     */
+    private record Call(FollowEffect.Await await, long startedAt, long endsAt, boolean lost, long answer, double left) {
+
+        private static Call pending(FollowEffect.Await await, long now) {
+            return new Call(await, now, now + await.waitMillis(), false, 0, 0);
+        }
+
+        private Call lostUntil(long timeoutAt) {
+            return new Call(await, startedAt, timeoutAt, true, 0, 0);
+        }
 
-    /** A call that is pending at the store, or that was lost in the network and ends by its time-out. */
-    private record Call(FollowEffect.Await await, long endsAt, boolean lost) {}
+        /** Lets the store answer if it has a change or the wait is over. */
+        private Call advance(long version, long now) {
+            boolean changed = version > await.afterVersion();
+            boolean due = !lost && answer == 0 && (changed || now >= endsAt);
+            return due ? new Call(await, startedAt, endsAt, false, version, changed ? 1 : 0) : this;
+        }
+
+        private Call received(double share) {
+            return arriving() ? new Call(await, startedAt, endsAt, lost, answer, left - share) : this;
+        }
+
+        private boolean arriving() {
+            return left > 0;
+        }
+
+        private FollowInput input() {
+            boolean empty = answer <= await.afterVersion();
+            return FollowInput.ofAnswer(answer, empty ? 0 : answer, empty);
+        }
+
+        private boolean timedOut(long now) {
+            return now - startedAt >= await.timeoutMillis();
+        }
+    }
 
     private final class Node {
 
@@ -38,15 +89,15 @@
         private final List<Call> pending = new ArrayList<>();
         private final List<Long> reads = new ArrayList<>();
         private long known;
+        private long impairedUntil;
 
         private void execute(Effect effect) {
             if (effect instanceof FollowEffect.ReadAll read && read.table() == FollowedTable.OPERATORS) {
                 reads.add(read.callId());
             } else if (effect instanceof FollowEffect.Await await && await.table() == FollowedTable.OPERATORS) {
                 calls++;
-                boolean lost = cut.contains(this);
-                long durationMillis = lost ? await.timeoutMillis() : await.waitMillis();
-                pending.add(new Call(await, millis + durationMillis, lost));
+                Call call = Call.pending(await, millis);
+                pending.add(cut.contains(this) ? call.lostUntil(millis + await.timeoutMillis()) : call);
             }
         }
 
@@ -56,27 +107,40 @@
         }
 
         private void step() {
+            if (frozen.contains(this)) {
+                transfer();
+                return;
+            }
             controller.advance(now(), this::execute);
             List<Long> answered = List.copyOf(reads);
             reads.clear();
             answered.forEach(callId -> answer(callId, FollowEvent.READ, FollowInput.ofAnswer(version, version, false)));
-            for (Call call : List.copyOf(pending)) {
-                if (call.lost()) {
-                    end(call, millis >= call.endsAt(), FollowEvent.FAILED, FollowInput.NONE);
-                } else if (version > call.await().afterVersion()) {
-                    end(call, true, FollowEvent.CHANGED, FollowInput.ofAnswer(version, version, false));
-                } else {
-                    end(call, millis >= call.endsAt(), FollowEvent.CHANGED, FollowInput.ofAnswer(version, 0, true));
-                }
-            }
+            transfer();
+            List.copyOf(pending).forEach(this::end);
+        }
+
+        /** Receives parts of the answers that are arriving, each at an equal share of the link. */
+        private void transfer() {
+            pending.replaceAll(call -> call.advance(version, millis));
+            long arriving = pending.stream().filter(Call::arriving).count();
+            double share = (double) STEP_MILLIS / (transferMillis * arriving);
+            pending.replaceAll(call -> call.received(share));
         }
 
-        private void end(Call call, boolean due, FollowEvent event, FollowInput input) {
-            if (due) {
-                pending.remove(call);
-                answer(call.await().callId(), event, input);
+        private void end(Call call) {
+            boolean brokenOffNow = call.arriving() && call.timedOut(millis);
+            brokenOff += brokenOffNow ? 1 : 0;
+            if (brokenOffNow || call.lost() && millis >= call.endsAt()) {
+                end(call, FollowEvent.FAILED, FollowInput.NONE);
+            } else if (call.answer() > 0 && !call.arriving()) {
+                end(call, FollowEvent.CHANGED, call.input());
             }
         }
+
+        private void end(Call call, FollowEvent event, FollowInput input) {
+            pending.remove(call);
+            answer(call.await().callId(), event, input);
+        }
     }
 
     VirtualFollowers(int size, long seed, boolean exchanging) {
@@ -87,6 +151,11 @@
         }
     }
 
+    /** Sets how long an answer with rows takes to arrive if no other one is arriving at the node, in milliseconds. */
+    void answersTake(long transferTimeMillis) {
+        transferMillis = transferTimeMillis;
+    }
+
     private long now() {
         return Timing.millisToNanos(millis);
     }
@@ -107,12 +176,31 @@
             if (exchanging && millis % REQUEST_INTERVAL_MILLIS == 0) {
                 nodes.forEach(this::request);
             }
+            nodes.forEach(this::recordOverdue);
+        }
+    }
+
+    private boolean impaired(Node node) {
+        return cut.contains(node) || frozen.contains(node);
+    }
+
+    /** Records for how long a node in contact has not known the oldest change that it lacks. */
+    private void recordOverdue(Node node) {
+        if (impaired(node)) {
+            node.impairedUntil = millis;
+        } else if (node.known > 0 && node.known < version && millis - node.impairedUntil >= CONTACT_MILLIS) {
+            overdueMillis = Math.max(overdueMillis, millis - changedAt.get((int) node.known - 1));
         }
     }
 
+    /** Returns how many calls have timed out while their answer arrived. */
+    int brokenOffAnswers() {
+        return brokenOff;
+    }
+
     private void request(Node from) {
         Node to = nodes.get(random.nextInt(nodes.size()));
-        if (from != to && !cut.contains(from) && !cut.contains(to)) {
+        if (from != to && !impaired(from) && !impaired(to)) {
             to.controller.onVersions(from.controller.versions(now()), now(), to::execute);
             from.controller.onAnsweredVersions(to.controller.versions(now()), now(), now(), from::execute);
         }
@@ -123,8 +211,8 @@
         for (Node node : nodes) {
             if (random.nextDouble() < share) {
                 cut.add(node);
-                node.pending.replaceAll(call ->
-                        new Call(call.await(), call.endsAt() + call.await().timeoutMillis(), true));
+                node.pending.replaceAll(
+                        call -> call.lostUntil(call.endsAt() + call.await().timeoutMillis()));
             }
         }
     }
@@ -133,14 +221,38 @@
         cut.clear();
     }
 
+    /** Freezes a random share of the nodes: they handle nothing, while answers go on arriving. */
+    void freeze(double share) {
+        nodes.stream().filter(node -> random.nextDouble() < share).forEach(frozen::add);
+    }
+
+    void wake() {
+        frozen.clear();
+    }
+
     void change() {
         version++;
+        changedAt.add(millis);
     }
 
     boolean allKnow() {
         return nodes.stream().allMatch(node -> node.known == version);
     }
 
+    /**
+     * Makes changes at an interval, and runs until the interval after the last one is over.
+     *
+     * @return the longest time for which a node in contact has not known a change meanwhile, in milliseconds
+     */
+    long changeRepeatedly(int times, long intervalMillis) {
+        overdueMillis = 0;
+        for (int i = 0; i < times; i++) {
+            change();
+            runFor(intervalMillis);
+        }
+        return overdueMillis;
+    }
+
     /** Runs until all nodes know the newest version, and returns how long that took. */
     long millisUntilAllKnow(long maxMillis) {
         long from = millis;
