Followed tables: an answer counts whichever call it belongs to

Callers got 404 for routes of a manifest that had been confirmed seconds before, at nodes that had been frozen once.

Cause: what a node held of a table and what it believed to hold were kept in two places, set by different answers. The answer to a replaced call was applied and not recorded, so that the next call asked for all rows anew. Calls that another one replaced stayed pending, up to 5 at a node after 10 s of quiet, and the next change was sent once for each of them over the same link. Calls were replaced after a second and timed out by their age, so that large answers were thrown away while they arrived. A retry that starts over sooner than the work it repeats keeps the node behind for as long as changes come.

Change: TableCopy is the one record of how much of a table is held, every answer updates it, and rows are applied if and only if their answer was recorded (TableAnswers). The chart has a state RECEIVING: the first bytes of an answer cancel all other calls, and nothing replaces it. At most two calls are pending before that. A store call ends by lack of progress (StoreCall). The time between calls grows with the time that answers take and with the number of calls that had no answer. Newer rows are heard of in every state.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowAction.java
@@ -1,17 +1,20 @@
 package org.verbenamast.core.watch;
 
+import java.util.List;
+
 import org.verbenamast.core.chart.Action;
 import org.verbenamast.core.effect.Effects;
-import org.verbenamast.core.node.Timing;
 
 /** The actions of the chart of a followed table. */
 public enum FollowAction implements Action<FollowData, FollowInput> {
-    /** Requests all rows of the table. */
+    /** Requests all rows of the table; other calls are cancelled. */
     READ_ALL {
         @Override
         public FollowData apply(FollowData data, FollowInput input, long now, Effects effects) {
-            FollowData next = data.withCall(now);
-            effects.emit(new FollowEffect.ReadAll(next.table(), next.callId()));
+            FollowCall call = new FollowCall(data.calls().lastId() + 1, now, 0);
+            FollowData next = cancel(data, data.calls().pending(), effects).withCall(call);
+            effects.emit(new FollowEffect.ReadAll(
+                    data.table(), call.id(), data.calls().failures()));
             return next;
         }
     },
@@ -19,24 +22,41 @@
     AWAIT {
         @Override
         public FollowData apply(FollowData data, FollowInput input, long now, Effects effects) {
-            FollowData next = data.withCall(now);
-            long wait = next.table().waitMillis(data.random().getAsDouble());
-            effects.emit(new FollowEffect.Await(next.table(), next.version(), wait, next.callId()));
+            long wait = data.table().waitMillis(data.random().getAsDouble());
+            FollowCall call = new FollowCall(data.calls().lastId() + 1, now, wait);
+            FollowData next = cancel(data, data.calls().surplus(), effects).withCall(call);
+            effects.emit(new FollowEffect.Await(data.table(), data.copy().version(), wait, call.id()));
             return next;
         }
     },
-    /** Records the version that the store answered with, and that this node knows all changes up to it. */
-    RECORD_VERSION {
+    /** Records that an answer has begun to arrive. Other calls would bring the same rows and are cancelled. */
+    RECORD_ARRIVAL {
+        @Override
+        public FollowData apply(FollowData data, FollowInput input, long now, Effects effects) {
+            FollowData next = cancel(data, data.calls().others(input.callId()), effects);
+            return next.with(next.calls().withArrival(now));
+        }
+    },
+    /** Records what the store answered, and that this node holds all changes up to its version. */
+    RECORD_ANSWER {
         @Override
         public FollowData apply(FollowData data, FollowInput input, long now, Effects effects) {
-            return data.withAnswer(input, now);
+            FollowData next = cancel(data, data.calls().others(input.callId()), effects);
+            return next.withAnswer(input, now).withoutCalls(next.calls().pending());
+        }
+    },
+    /** Records that a call has ended without an answer that this node can use. */
+    DROP_CALL {
+        @Override
+        public FollowData apply(FollowData data, FollowInput input, long now, Effects effects) {
+            return data.withoutCalls(data.calls().find(input.callId()).stream().toList());
         }
     },
     /** Schedules the next call after the delay that lets further changes accumulate. */
     SCHEDULE_CALL {
         @Override
         public FollowData apply(FollowData data, FollowInput input, long now, Effects effects) {
-            return data.withResumeAt(now + Timing.millisToNanos(data.table().batchDelayMillis()));
+            return data.withResumeAt(now + data.pauseNanos(now));
         }
     },
     /** Records the version of a row that reached this node other than by following the table. */
@@ -64,7 +84,12 @@
     COUNT_FAILURE {
         @Override
         public FollowData apply(FollowData data, FollowInput input, long now, Effects effects) {
-            return data.withFailure();
+            return data.with(data.calls().withFailure());
         }
+    };
+
+    private static FollowData cancel(FollowData data, List<FollowCall> calls, Effects effects) {
+        calls.forEach(call -> effects.emit(new FollowEffect.Cancel(data.table(), call.id())));
+        return data.withoutCalls(calls);
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowController.java
@@ -11,7 +11,10 @@
 import org.verbenamast.core.effect.Effects;
 import org.verbenamast.core.node.Timing;
 
-/** Follows the tables of the store that every node has to know, with one call at a time for each table. */
+/**
+ * Follows the tables of the store that every node has to know. It decides which answers count: whichever call an answer
+ * belongs to, its rows are to be applied if and only if it is recorded here.
+ */
 public final class FollowController {
 
     /** Time within which the store answers a call if it has a change, in nanoseconds. */
@@ -51,7 +54,21 @@
     }
 
     /**
-     * Handles the end of a call to the store. Ignores it unless it is the table's last call.
+     * Handles the first bytes of an answer, of which more are to come. Until it ends, no other call is pending.
+     *
+     * @param table the table
+     * @param callId the number of the call
+     * @param now the monotonic time, in nanoseconds
+     * @param effects receives the effects
+     */
+    public void onAnswerArriving(FollowedTable table, long callId, long now, Effects effects) {
+        if (calls(table).isPending(callId)) {
+            tables.fire(table, FollowEvent.ARRIVING, FollowInput.NONE.withCallId(callId), now, effects);
+        }
+    }
+
+    /**
+     * Handles the end of a call to the store. Ignores a call that has been cancelled.
      *
      * @param table the table
      * @param callId the number of the call
@@ -59,12 +76,44 @@
      * @param input the store's version and whether the answer contained rows
      * @param now the monotonic time, in nanoseconds
      * @param effects receives the effects
+     * @return whether the call was answered with a version that is no older than the one held, so that its rows are to
+     *     be applied
      */
-    public void onCallEnded(
+    public boolean onCallEnded(
             FollowedTable table, long callId, FollowEvent event, FollowInput input, long now, Effects effects) {
-        if (tables.find(table).data().callId() == callId) {
-            tables.fire(table, event, input, now, effects);
+        if (!calls(table).isPending(callId)) {
+            return false;
         }
+        boolean accepted = event.isAnswer() && tables.find(table).data().copy().accepts(input);
+        FollowEvent outcome = event.isAnswer() && !accepted ? FollowEvent.FAILED : event;
+        tables.fire(table, outcome, input.withCallId(callId), now, effects);
+        return accepted;
+    }
+
+    /**
+     * Handles the end of a call to the store. Ignores a call that has been cancelled.
+     *
+     * @param result the end of the call
+     * @param now the monotonic time, in nanoseconds
+     * @param effects receives the effects
+     * @return whether the rows of the answer are to be applied
+     */
+    public boolean onCallEnded(FollowResult result, long now, Effects effects) {
+        return onCallEnded(result.table(), result.callId(), result.event(), result.input(), now, effects);
+    }
+
+    private FollowCalls calls(FollowedTable table) {
+        return tables.find(table).data().calls();
+    }
+
+    /**
+     * Returns how much of a table this node holds.
+     *
+     * @param table the table
+     * @return the store's version up to which it holds all changes; 0 before the first read
+     */
+    public long version(FollowedTable table) {
+        return tables.find(table).data().copy().version();
     }
 
     /**
@@ -86,14 +135,14 @@
      * @return the versions to send to other nodes; {@link StoreVersions#NONE} before the store has answered
      */
     public StoreVersions versions(long now) {
-        FollowData operators = tables.find(FollowedTable.OPERATORS).data();
-        long age = (now - operators.answeredAt()) / Timing.NANOS_PER_MILLI;
-        return operators.answeredAt() == 0
-                ? StoreVersions.NONE
-                : new StoreVersions(
+        TableCopy operators = tables.find(FollowedTable.OPERATORS).data().copy();
+        long age = (now - operators.asOf()) / Timing.NANOS_PER_MILLI;
+        return operators.isRead()
+                ? new StoreVersions(
                         operators.latest(),
                         age,
-                        tables.find(FollowedTable.SHARED).data().latest());
+                        tables.find(FollowedTable.SHARED).data().copy().latest())
+                : StoreVersions.NONE;
     }
 
     /**
@@ -104,10 +153,13 @@
      *     answer; in nanoseconds of the monotonic clock
      */
     public long membersAsOf(long now) {
-        FollowData data = tables.find(FollowedTable.SHARED).data();
-        boolean waiting = data.calledAt() > data.answeredAt() && data.failures() == 0;
-        boolean wouldBeAnswered = now - data.calledAt() >= ANSWER_NANOS;
-        return data.answeredAt() > 0 && waiting && wouldBeAnswered ? data.calledAt() : data.answeredAt();
+        TableCopy members = tables.find(FollowedTable.SHARED).data().copy();
+        return calls(FollowedTable.SHARED)
+                .waiting()
+                .filter(call -> members.isRead() && calls(FollowedTable.SHARED).failures() == 0)
+                .filter(call -> now - call.sentAt() >= ANSWER_NANOS)
+                .map(call -> Math.max(call.sentAt(), members.asOf()))
+                .orElse(members.asOf());
     }
 
     /**
@@ -170,7 +222,7 @@
     }
 
     private boolean knows(FollowedTable table, long latest) {
-        return tables.find(table).data().knows(latest);
+        return tables.find(table).data().copy().holds(latest);
     }
 
     /**
@@ -181,8 +233,8 @@
         FollowData operators = tables.find(FollowedTable.OPERATORS).data();
         long version = versions.operatorsVersion();
         return version > 0
-                && version >= operators.latest()
-                && operators.knows(version)
+                && version >= operators.copy().latest()
+                && operators.copy().holds(version)
                 && provenAt(versions, askedAt) > operators.provenAt();
     }
 
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowData.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowData.java
@@ -1,5 +1,6 @@
 package org.verbenamast.core.watch;
 
+import java.util.List;
 import java.util.Objects;
 import java.util.function.DoubleSupplier;
 
@@ -8,86 +9,80 @@
  *
  * @param table the table
  * @param random returns uniformly distributed numbers from 0 (inclusive) to 1 (exclusive)
- * @param version the store's version up to which this node knows all changes
- * @param latest the version of the newest known row of the kind that nodes send each other
+ * @param copy how much of the table this node holds
  * @param wanted the version of the newest row that another node is known to have
- * @param calledAt the monotonic time of the last call, in nanoseconds
- * @param answeredAt the monotonic time when the store last answered this node, in nanoseconds
- * @param provenAt the monotonic time when the store last confirmed, to this node or another one, that it has nothing
+ * @param provenAt the monotonic time as of which the store confirmed, to this node or another one, that it has nothing
  *     newer, in nanoseconds
  * @param resumeAt the monotonic time at which to make the next call after a change, in nanoseconds
- * @param callId the number of the last call; an answer to an earlier call is ignored
- * @param failures the number of consecutive failed calls
+ * @param calls the calls to the store
  */
 public record FollowData(
         FollowedTable table,
         DoubleSupplier random,
-        long version,
-        long latest,
+        TableCopy copy,
         long wanted,
-        long calledAt,
-        long answeredAt,
         long provenAt,
         long resumeAt,
-        long callId,
-        int failures) {
+        FollowCalls calls) {
 
-    /** Checks that the table and the random source are present. */
+    /** Checks that the table, the random source, the copy and the calls are present. */
     public FollowData {
         Objects.requireNonNull(table, "table");
         Objects.requireNonNull(random, "random");
+        Objects.requireNonNull(copy, "copy");
+        Objects.requireNonNull(calls, "calls");
     }
 
     static FollowData initial(FollowedTable table, DoubleSupplier random) {
-        return new FollowData(table, random, 0, 0, 0, 0, 0, 0, 0, 0, 0);
+        return new FollowData(table, random, TableCopy.EMPTY, 0, 0, 0, FollowCalls.NONE);
     }
 
-    FollowData withCall(long now) {
-        return new FollowData(
-                table, random, version, latest, wanted, now, answeredAt, provenAt, resumeAt, callId + 1, failures);
+    FollowData with(FollowCalls next) {
+        return new FollowData(table, random, copy, wanted, provenAt, resumeAt, next);
     }
 
-    FollowData withAnswer(FollowInput input, long now) {
-        long newVersion = Math.max(version, input.version());
-        long newest = Math.max(latest, input.latest());
-        return new FollowData(table, random, newVersion, newest, wanted, calledAt, now, now, resumeAt, callId, 0);
+    FollowData with(TableCopy next) {
+        return new FollowData(table, random, next, wanted, Math.max(provenAt, next.asOf()), resumeAt, calls);
+    }
+
+    FollowData withCall(FollowCall call) {
+        return with(calls.with(call));
+    }
+
+    FollowData withoutCalls(List<FollowCall> ended) {
+        return with(calls.without(ended));
+    }
+
+    FollowData withAnswer(FollowInput answer, long now) {
+        return with(copy.withAnswer(answer, now)).with(calls.withAnswer());
     }
 
     FollowData withResumeAt(long at) {
-        return new FollowData(
-                table, random, version, latest, wanted, calledAt, answeredAt, provenAt, at, callId, failures);
+        return new FollowData(table, random, copy, wanted, provenAt, at, calls);
     }
 
     FollowData withReceivedRow(long rowVersion) {
-        long newest = Math.max(latest, rowVersion);
-        return new FollowData(
-                table, random, version, newest, wanted, calledAt, answeredAt, provenAt, resumeAt, callId, failures);
+        return with(copy.withReceivedRow(rowVersion));
     }
 
     FollowData withWantedRow(long rowVersion) {
-        long newest = Math.max(wanted, rowVersion);
-        return new FollowData(
-                table, random, version, latest, newest, calledAt, answeredAt, provenAt, resumeAt, callId, failures);
+        return new FollowData(table, random, copy, Math.max(wanted, rowVersion), provenAt, resumeAt, calls);
     }
 
     FollowData withProof(long at) {
-        long newest = Math.max(provenAt, at);
-        return new FollowData(
-                table, random, version, latest, wanted, calledAt, answeredAt, newest, resumeAt, callId, failures);
+        return new FollowData(table, random, copy, wanted, Math.max(provenAt, at), resumeAt, calls);
     }
 
-    FollowData withFailure() {
-        return new FollowData(
-                table, random, version, latest, wanted, calledAt, answeredAt, provenAt, resumeAt, callId, failures + 1);
-    }
-
-    /** Returns whether this node knows a row of this version or a newer one. */
-    boolean knows(long rowVersion) {
-        return rowVersion <= Math.max(version, latest);
+    boolean isBehind() {
+        return !copy.holds(wanted);
     }
 
-    boolean isBehind() {
-        return !knows(wanted);
+    /**
+     * Returns the time between an answer with rows and the next call, in nanoseconds: at least as long as the answer
+     * was arriving, so that answers leave the link to requests for half of the time.
+     */
+    long pauseNanos(long now) {
+        return Math.max(table.batchDelayNanos(), Math.min(table.maxPauseNanos(), calls.transferNanos(now)));
     }
 
     /**
@@ -95,6 +90,6 @@
      * it.
      */
     long silenceDueAt() {
-        return Math.max(calledAt, provenAt) + table.silenceTimeoutNanos();
+        return Math.max(calls.lastSentAt(), provenAt) + table.silenceTimeoutNanos();
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowEffect.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowEffect.java
@@ -8,17 +8,32 @@
 /** Calls to the store that a followed table requires. */
 public sealed interface FollowEffect extends Effect.RelayEffect {
 
+    /** Time for the store to begin an answer, in milliseconds; hundreds of times its usual response time. */
+    long ANSWER_MARGIN_MILLIS = 1_000;
+
     /**
      * Reads all rows of a table.
      *
      * @param table the table
      * @param callId the number of the call
+     * @param failures the number of consecutive failed calls before this one
      */
-    record ReadAll(FollowedTable table, long callId) implements FollowEffect {
+    record ReadAll(FollowedTable table, long callId, int failures) implements FollowEffect {
 
-        /** Checks that the table is present. */
+        /** Checks that the table is present and the number of failures not negative. */
         public ReadAll {
             Objects.requireNonNull(table, "table");
+            Checks.notNegative("failures", failures);
+        }
+
+        /**
+         * Returns the time within which the answer, or its next bytes, have to arrive. After a failure it is longer,
+         * so that a store which is slow for all is not asked faster than it can answer.
+         *
+         * @return the time after which the call is considered lost, in milliseconds
+         */
+        public long timeoutMillis() {
+            return failures == 0 ? ANSWER_MARGIN_MILLIS : 2 * ANSWER_MARGIN_MILLIS;
         }
     }
 
@@ -39,7 +54,7 @@
         }
 
         /**
-         * Returns the time-out of the call.
+         * Returns the time within which the answer has to begin to arrive.
          *
          * @return the time after which the call is considered lost, in milliseconds
          */
@@ -48,6 +63,17 @@
         }
     }
 
-    /** Time-out of a call beyond its wait, in milliseconds; many times the duration of a typical call. */
-    long ANSWER_MARGIN_MILLIS = 500;
+    /**
+     * Cancels a call that waits for changes. Its answer is not needed.
+     *
+     * @param table the table
+     * @param callId the number of the call
+     */
+    record Cancel(FollowedTable table, long callId) implements FollowEffect {
+
+        /** Checks that the table is present. */
+        public Cancel {
+            Objects.requireNonNull(table, "table");
+        }
+    }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowEvent.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowEvent.java
@@ -4,13 +4,25 @@
 public enum FollowEvent {
     /** The node has started. */
     START,
+    /** The first bytes of an answer have arrived, and more of it are to come. */
+    ARRIVING,
     /** The store answered with all rows. */
-    READ,
+    READ {
+        @Override
+        boolean isAnswer() {
+            return true;
+        }
+    },
     /** The store answered a waiting call, with changes or, at the end of the wait, without any. */
-    CHANGED,
+    CHANGED {
+        @Override
+        boolean isAnswer() {
+            return true;
+        }
+    },
     /** The store no longer has all changes since the known version, so that all rows have to be read again. */
     HISTORY_GONE,
-    /** A call to the store failed. */
+    /** A call to the store failed, or was answered with an older version than the one held. */
     FAILED,
     /** The delay before the next call has elapsed. */
     PAUSE_OVER,
@@ -23,5 +35,10 @@
     /** Another node knows a newer row than this one. */
     BEHIND,
     /** The time for a row that another node knows to arrive without a further call has elapsed. */
-    CATCH_UP
+    CATCH_UP;
+
+    /** Returns whether the store has answered with a version of the table. */
+    boolean isAnswer() {
+        return false;
+    }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowInput.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowInput.java
@@ -3,15 +3,16 @@
 /**
  * The input of a followed table's events. A field is 0 where it does not apply to the event.
  *
+ * @param callId the number of the call that the event belongs to
  * @param version the store's version as of the answer
  * @param latest the version of the newest received row of the kind that nodes send each other; 0 where there is none
  * @param provenAt the monotonic time when the store answered another node, in nanoseconds; 0 where unknown
  * @param empty whether the answer contained no rows
  */
-public record FollowInput(long version, long latest, long provenAt, boolean empty) {
+public record FollowInput(long callId, long version, long latest, long provenAt, boolean empty) {
 
     /** The input of events that carry no data. */
-    public static final FollowInput NONE = new FollowInput(0, 0, 0, true);
+    public static final FollowInput NONE = new FollowInput(0, 0, 0, 0, true);
 
     /**
      * Creates the input for an answer from the store.
@@ -23,14 +24,18 @@
      * @return the input
      */
     public static FollowInput ofAnswer(long version, long latest, boolean empty) {
-        return new FollowInput(version, latest, 0, empty);
+        return new FollowInput(0, version, latest, 0, empty);
     }
 
     static FollowInput ofRow(long latest) {
-        return new FollowInput(0, latest, 0, true);
+        return new FollowInput(0, 0, latest, 0, true);
     }
 
     static FollowInput ofProof(long at) {
-        return new FollowInput(0, 0, at, true);
+        return new FollowInput(0, 0, 0, at, true);
+    }
+
+    FollowInput withCallId(long id) {
+        return new FollowInput(id, version, latest, provenAt, empty);
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowTimer.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowTimer.java
@@ -29,7 +29,7 @@
             return Math.max(0, data.silenceDueAt() - now);
         }
     },
-    /** Gives rows that another node knows the time to arrive without a further call. */
+    /** Gives rows that another node knows the time to arrive in an answer to the pending call. */
     CATCH_UP_DELAY {
         @Override
         public FollowEvent fires() {
@@ -38,7 +38,19 @@
 
         @Override
         public long delayNanos(FollowData data, long now) {
-            return Math.max(CATCH_UP_DELAY_NANOS, data.calledAt() + MIN_CALL_INTERVAL_NANOS - now);
+            return untilNextCall(data, now);
+        }
+    },
+    /** Gives rows that another node knows the time to arrive without a call, though no longer than the batch delay. */
+    ROW_DELAY {
+        @Override
+        public FollowEvent fires() {
+            return FollowEvent.CATCH_UP;
+        }
+
+        @Override
+        public long delayNanos(FollowData data, long now) {
+            return Math.max(0, Math.min(untilNextCall(data, now), data.resumeAt() - now));
         }
     },
     /** Delays the next call after a failed one; grows with each consecutive failure. */
@@ -50,7 +62,9 @@
 
         @Override
         public long delayNanos(FollowData data, long now) {
-            return Timing.millisToNanos(Math.min(MAX_RETRY_DELAY_MILLIS, INITIAL_RETRY_DELAY_MILLIS * data.failures()));
+            return Timing.millisToNanos(Math.min(
+                    MAX_RETRY_DELAY_MILLIS,
+                    INITIAL_RETRY_DELAY_MILLIS * data.calls().failures()));
         }
     };
 
@@ -61,8 +75,17 @@
      * platform expects a node to be in contact after an impairment.
      */
     private static final long MIN_CALL_INTERVAL_NANOS = Timing.millisToNanos(1_000);
+    /** Maximum of that time, to which it grows while no call is answered; leaves a third of the 3 s for an answer. */
+    private static final long MAX_CALL_INTERVAL_NANOS = Timing.millisToNanos(2_000);
     /** Retry delay after the first failed call. */
     private static final long INITIAL_RETRY_DELAY_MILLIS = 100;
     /** Maximum retry delay; lets a node know all rows within 2 s after an outage ends. */
     private static final long MAX_RETRY_DELAY_MILLIS = 600;
+
+    /** Returns the time until a call that is caused by the versions of other nodes, in nanoseconds. */
+    private static long untilNextCall(FollowData data, long now) {
+        long replacements = Math.max(1, data.calls().unanswered() - 1);
+        long interval = Math.min(MAX_CALL_INTERVAL_NANOS, MIN_CALL_INTERVAL_NANOS * replacements);
+        return Math.max(CATCH_UP_DELAY_NANOS, data.calls().lastSentAt() + interval - now);
+    }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowedTable.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowedTable.java
@@ -18,6 +18,12 @@
      */
     SHARED(10_000, 10_000, 5_000, 10_500);
 
+    /**
+     * Maximum delay of a call by the time that an answer took to arrive; a fifth of the time within which a new
+     * manifest has to be in force.
+     */
+    private static final long MAX_PAUSE_NANOS = Timing.millisToNanos(500);
+
     private final long minWaitMillis;
     private final long maxWaitMillis;
     private final long batchDelayMillis;
@@ -40,10 +46,20 @@
         return minWaitMillis + (long) (fraction * (maxWaitMillis - minWaitMillis));
     }
 
+    /** Returns the delay between a change and the next call, in nanoseconds. */
+    long batchDelayNanos() {
+        return Timing.millisToNanos(batchDelayMillis);
+    }
+
+    /** Returns by how much the time that an answer took to arrive may delay the next call, in nanoseconds. */
+    long maxPauseNanos() {
+        return MAX_PAUSE_NANOS;
+    }
+
     /**
      * Returns the delay between a change and the next call, so that changes in quick succession cost one call.
      *
-     * @return the delay, in milliseconds; 0 where the next call follows at once
+     * @return the delay, in milliseconds; 0 where only the time that answers take delays calls
      */
     public long batchDelayMillis() {
         return batchDelayMillis;
--- /dev/null
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowCallsTest.java
@@ -0,0 +1,96 @@
+package org.verbenamast.core.watch;
+
+import org.junit.jupiter.api.Test;
+import org.verbenamast.core.node.Timing;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Calls that are replaced, cancelled, answered late or answered while others are pending. */
+class FollowCallsTest extends FollowFixture {
+
+    /** Guards against answers with the same rows that share a link. */
+    @Test
+    void should_cancel_the_other_call_when_an_answer_begins_to_arrive() {
+        // given
+        startController();
+        FollowEffect.Await replaced = lastCall();
+        runWhileReceiving(12, tenth -> new StoreVersions(9, 0, 7));
+        FollowEffect.Await second = lastCall();
+        assertThat(second.callId()).isGreaterThan(replaced.callId());
+
+        // when
+        arrive(replaced);
+
+        // then
+        assertThat(cancelledCalls()).containsExactly(second.callId());
+        assertThat(answer(second, 9)).isFalse();
+        assertThat(answer(replaced, 9)).isTrue();
+    }
+
+    /** Guards against a call that starts over while the answer to the one before arrives. */
+    @Test
+    void should_make_no_call_while_an_answer_arrives_when_others_know_more() {
+        // given
+        startController();
+        runFor(1_500);
+        arrive(lastCall());
+
+        // when
+        runWhileReceiving(100, tenth -> new StoreVersions(9, 0, 7));
+
+        // then
+        assertThat(calls(FollowedTable.OPERATORS)).hasSize(1);
+    }
+
+    @Test
+    void should_have_at_most_two_calls_pending_when_none_is_answered() {
+        // given
+        startController();
+
+        // when
+        runFor(60_000);
+
+        // then
+        int made = calls(FollowedTable.OPERATORS).size();
+        assertThat(made).isGreaterThan(10);
+        assertThat(cancelledCalls()).hasSize(made - 2);
+    }
+
+    @Test
+    void should_pause_for_as_long_as_the_answer_took_when_changes_follow_one_another() {
+        // given
+        startController();
+        runFor(1_500);
+        FollowEffect.Await call = lastCall();
+        arrive(call);
+        runFor(300);
+        answer(call, 9);
+
+        // when
+        runWhileReceiving(2, tenth -> new StoreVersions(11, 0, 7));
+
+        // then
+        assertThat(calls(FollowedTable.OPERATORS)).hasSize(1);
+        runFor(150);
+        assertThat(calls(FollowedTable.OPERATORS)).hasSize(2);
+        assertThat(lastCall().afterVersion()).isEqualTo(9);
+    }
+
+    @Test
+    void should_keep_the_pending_call_when_the_one_that_it_replaced_fails() {
+        // given
+        startController();
+        FollowEffect.Await replaced = lastCall();
+        runFor(2_300);
+        assertThat(calls(FollowedTable.OPERATORS)).hasSize(2);
+
+        // when
+        controller.onCallEnded(
+                replaced.table(), replaced.callId(), FollowEvent.FAILED, FollowInput.NONE, now, effects::add);
+        runFor(1_000);
+
+        // then
+        assertThat(calls(FollowedTable.OPERATORS)).hasSize(2);
+        assertThat(answer(lastCall(), 9)).isTrue();
+    }
+}
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
@@ -15,11 +15,11 @@
 import org.verbenamast.core.entry.EntryEffect;
 import org.verbenamast.core.keys.KeyEffect;
 import org.verbenamast.core.keys.KeyLeaseTimings;
-import org.verbenamast.core.manifest.Manifest;
 import org.verbenamast.core.model.Zone;
 import org.verbenamast.core.node.Timing;
 import org.verbenamast.core.relay.RelayCore;
 import org.verbenamast.core.relay.RelaySettings;
+import org.verbenamast.core.relay.TableAnswers;
 import org.verbenamast.core.rows.BroadcastRows;
 import org.verbenamast.core.rows.RowRef;
 import org.verbenamast.core.rows.StoreEffect;
@@ -29,9 +29,9 @@
 import org.verbenamast.core.stop.StopController;
 import org.verbenamast.core.stop.StopEffect;
 import org.verbenamast.core.watch.FollowEffect;
-import org.verbenamast.core.watch.FollowEvent;
-import org.verbenamast.core.watch.FollowInput;
+import org.verbenamast.core.watch.FollowResult;
 import org.verbenamast.core.watch.FollowedTable;
+import org.verbenamast.core.watch.OperatorRow;
 import org.verbenamast.relay.backend.BackendPool;
 import org.verbenamast.relay.caller.CallerServer;
 import org.verbenamast.relay.peer.GateServer;
@@ -65,6 +65,7 @@
     private RelayNodeSettings settings;
     private final Eventloop eventloop;
     private final RelayCore core;
+    private final TableAnswers answers;
     private final RelayLoop loop;
     private final StoreClient store;
     private final PeerPool peers;
@@ -95,6 +96,7 @@
                         (e, context) -> LOG.error("uncaught exception in the event loop; the node keeps running", e))
                 .build();
         this.core = new RelayCore(coreSettings(settings), BeliefLog::transition);
+        this.answers = new TableAnswers(core);
         this.loop = new RelayLoop(eventloop, core, counts, this::run);
         this.store = new StoreClient(eventloop, settings.store(), this);
         this.peers = new PeerPool(eventloop);
@@ -239,36 +241,35 @@
     }
 
     @Override
-    public void onFollowResult(FollowedTable table, long callId, FollowEvent event, FollowInput input) {
-        loop.run((now, effects) -> core.follow().onCallEnded(table, callId, event, input, now, effects));
+    public void onAnswerArriving(FollowedTable table, long callId) {
+        loop.run((now, effects) -> core.follow().onAnswerArriving(table, callId, now, effects));
     }
 
     @Override
-    public void onChangedRows(List<StoredRow> rows) {
-        loop.run((now, effects) -> core.onRows(rows, now, effects));
+    public void onFollowFailed(FollowResult result) {
+        loop.run((now, effects) -> core.follow().onCallEnded(result, now, effects));
     }
 
     @Override
-    public void onAllRows(List<StoredRow> rows, long version) {
-        loop.run((now, effects) -> core.onSnapshot(rows, version, now, effects));
-    }
-
-    @Override
-    public void onManifest(Manifest manifest) {
+    public void onOperatorRows(FollowResult result, List<OperatorRow> rows) {
         loop.run((now, effects) -> {
-            if (core.manifest(manifest, now, effects)) {
+            long manifestBefore = core.manifest().version();
+            Set<Zone> zonesBefore = answers.operators().evacuatedZones();
+            answers.onOperatorRows(result, rows, now, effects);
+            if (core.manifest().version() != manifestBefore) {
+                answers.operators().manifest().ifPresent(BeliefLog::manifestInForce);
+            }
+            if (!answers.operators().evacuatedZones().equals(zonesBefore)) {
                 LOG.info(
-                        "manifest {} in force, {} routes",
-                        manifest.version(),
-                        manifest.routes().size());
+                        "availability zones out of service: {}",
+                        answers.operators().evacuatedZones());
             }
         });
     }
 
     @Override
-    public void onEvacuatedZones(Set<Zone> zones) {
-        LOG.info("availability zones out of service: {}", zones);
-        loop.run((now, effects) -> core.onEvacuatedZones(zones, now, effects));
+    public void onSharedRows(FollowResult result, List<StoredRow> rows) {
+        loop.run((now, effects) -> answers.onSharedRows(result, rows, now, effects));
     }
 
     @Override
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/ResponseTiming.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/ResponseTiming.java
@@ -25,21 +25,26 @@
 
     /** Adds a part of the response: its head, which counts no bytes, or a piece of its body. */
     ResponseTiming withPart(int length, long now) {
-        return new ResponseTiming(calledAt, firstByteAt == 0 ? now : firstByteAt, now, bytes + length);
+        return new ResponseTiming(calledAt, hasBegun() ? firstByteAt : now, now, bytes + length);
     }
 
     /** Adds the response to a later call that reads the next page of the same table. */
     ResponseTiming withNextPage(ResponseTiming next) {
         return new ResponseTiming(
                 calledAt,
-                firstByteAt == 0 ? next.firstByteAt : firstByteAt,
-                next.lastByteAt == 0 ? lastByteAt : next.lastByteAt,
+                hasBegun() ? firstByteAt : next.firstByteAt,
+                next.hasBegun() ? next.lastByteAt : lastByteAt,
                 bytes + next.bytes);
     }
 
+    /** Returns whether a part of the response has arrived. */
+    boolean hasBegun() {
+        return firstByteAt != 0;
+    }
+
     /** Returns the time from the call to the first byte, in milliseconds; 0 if nothing has arrived. */
     long firstByteMillis() {
-        return firstByteAt == 0 ? 0 : (firstByteAt - calledAt) / Timing.NANOS_PER_MILLI;
+        return !hasBegun() ? 0 : (firstByteAt - calledAt) / Timing.NANOS_PER_MILLI;
     }
 
     /** Returns the time from the first byte to the last one, in milliseconds. */
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
@@ -1,7 +1,9 @@
 package org.verbenamast.relay.store;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.stream.LongStream;
@@ -21,6 +23,7 @@
 import org.verbenamast.core.watch.FollowEffect;
 import org.verbenamast.core.watch.FollowEvent;
 import org.verbenamast.core.watch.FollowInput;
+import org.verbenamast.core.watch.FollowResult;
 import org.verbenamast.core.watch.FollowedTable;
 import org.verbenamast.platform.PlatformFault;
 import org.verbenamast.platform.StoreMessage;
@@ -33,14 +36,16 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(StoreClient.class);
 
-    /** 60 times the usual response time of the store, so that a slow store is still usable. */
+    /** Time for the store to begin a response, in milliseconds; hundreds of times its usual response time. */
     private static final long CALL_TIMEOUT_MILLIS = 1_000;
     /** The platform's limit on the rows of one read. */
     private static final int MAX_PAGE_ROWS = 500;
 
     private final StoreConnectionPool connections;
     private final StoreObserver observer;
-    private final OperatorRows operatorRows;
+    private final Map<WaitingCall, StoreCall> waiting = new HashMap<>();
+
+    private record WaitingCall(FollowedTable table, long callId) {}
 
     /**
      * Creates a client without connections.
@@ -52,7 +57,6 @@
     public StoreClient(Eventloop eventloop, Address store, StoreObserver observer) {
         this.connections = new StoreConnectionPool(eventloop, store);
         this.observer = Objects.requireNonNull(observer, "observer");
-        this.operatorRows = new OperatorRows(observer);
     }
 
     /**
@@ -75,6 +79,7 @@
                 .toList();
         return connections
                 .send(StoreMessage.commit(expected, writes), CALL_TIMEOUT_MILLIS)
+                .response()
                 .map(response -> {
                     if (response.ok()) {
                         return StoreMessage.committed(response.body())
@@ -113,7 +118,7 @@
     private Promise<StoreResult> read(StoreEffect.Read read) {
         RowRef ref = read.refs().get(0);
         StoreMessage.Call call = StoreMessage.read(StoreRows.tableOf(ref.table()), StoreRows.keyOf(ref), 1);
-        return connections.send(call, CALL_TIMEOUT_MILLIS).map(response -> {
+        return connections.send(call, CALL_TIMEOUT_MILLIS).response().map(response -> {
             if (!response.ok()) {
                 return new StoreResult.Failed(response.failure());
             }
@@ -127,15 +132,18 @@
     }
 
     /**
-     * Sends a call that follows a table: one that reads it whole, or one that waits for changes.
+     * Sends a call that follows a table, one that reads it whole or one that waits for changes, or cancels one.
      *
      * @param effect the call
      */
     public void run(FollowEffect effect) {
         if (effect instanceof FollowEffect.ReadAll all) {
-            readPages(all, "", List.of(), ResponseTiming.of(RelayLoop.now()));
+            readPages(all, "", new TablePages(List.of(), 0, ResponseTiming.of(RelayLoop.now())));
         } else if (effect instanceof FollowEffect.Await await) {
             awaitChanges(await);
+        } else if (effect instanceof FollowEffect.Cancel cancel) {
+            Optional.ofNullable(waiting.remove(new WaitingCall(cancel.table(), cancel.callId())))
+                    .ifPresent(StoreCall::close);
         }
     }
 
@@ -143,32 +151,34 @@
         return table == FollowedTable.OPERATORS ? StoreMessage.OPERATORS_TABLE : StoreRows.SHARED_TABLE;
     }
 
-    private void readPages(
-            FollowEffect.ReadAll all, String fromKey, List<RawRow> previousPages, ResponseTiming previousTiming) {
+    private void readPages(FollowEffect.ReadAll all, String fromKey, TablePages previous) {
         connections
-                .send(StoreMessage.read(tableOf(all.table()), fromKey, MAX_PAGE_ROWS), CALL_TIMEOUT_MILLIS)
+                .send(StoreMessage.read(tableOf(all.table()), fromKey, MAX_PAGE_ROWS), all.timeoutMillis())
+                .response()
                 .whenResult(response -> {
                     long receivedAt = RelayLoop.now();
-                    ResponseTiming timing = previousTiming.withNextPage(response.timing());
                     Either<PlatformFault, Rows> rows = rowsOf(response);
                     if (rows.isLeft()) {
+                        ResponseTiming timing = previous.timing().withNextPage(response.timing());
                         FollowLog.failed(
                                 all.table(), all.callId(), 0, rows.getLeft().detail(), timing);
-                        observer.onFollowResult(all.table(), all.callId(), FollowEvent.FAILED, FollowInput.NONE);
+                        onFailed(all.table(), all.callId(), FollowEvent.FAILED);
                         return;
                     }
-                    List<RawRow> read = new ArrayList<>(previousPages);
-                    read.addAll(rows.get().rows());
+                    TablePages pages = previous.with(rows.get(), response.timing());
                     if (rows.get().more() && !rows.get().rows().isEmpty()) {
-                        String last = read.get(read.size() - 1).key();
-                        readPages(all, last + '\0', read, timing);
+                        readPages(all, pages.lastKey() + '\0', pages);
                         return;
                     }
-                    long latest = applyAll(all.table(), read, rows.get().version());
+                    onRows(all.table(), all.callId(), FollowEvent.READ, pages.rows(), pages.version());
                     FollowLog.answered(
-                            all.table(), all.callId(), 0, rows.get().version(), read.size(), timing, receivedAt);
-                    FollowInput input = FollowInput.ofAnswer(rows.get().version(), latest, false);
-                    observer.onFollowResult(all.table(), all.callId(), FollowEvent.READ, input);
+                            all.table(),
+                            all.callId(),
+                            0,
+                            pages.version(),
+                            pages.rows().size(),
+                            pages.timing(),
+                            receivedAt);
                 });
     }
 
@@ -186,72 +196,69 @@
         return rows;
     }
 
-    private void onAwaitFailed(FollowEffect.Await await, FollowEvent event, String cause, ResponseTiming timing) {
-        FollowLog.failed(await.table(), await.callId(), await.afterVersion(), cause, timing);
-        observer.onFollowResult(await.table(), await.callId(), event, FollowInput.NONE);
+    private void onFailed(FollowedTable table, long callId, FollowEvent event) {
+        observer.onFollowFailed(new FollowResult(table, callId, event, FollowInput.NONE));
     }
 
     private void awaitChanges(FollowEffect.Await await) {
         FollowedTable table = await.table();
-        StoreMessage.Call call = StoreMessage.follow(tableOf(table), await.afterVersion(), await.waitMillis());
-        connections.send(call, await.timeoutMillis()).whenResult(response -> {
-            long receivedAt = RelayLoop.now();
-            if (response.gone()) {
-                onAwaitFailed(await, FollowEvent.HISTORY_GONE, "the history is gone", response.timing());
-                return;
-            }
-            Either<PlatformFault, Rows> rows = rowsOf(response);
-            if (rows.isLeft()) {
-                onAwaitFailed(await, FollowEvent.FAILED, rows.getLeft().detail(), response.timing());
-                return;
-            }
-            List<RawRow> changed = rows.get().rows();
-            long latest = applyChanges(table, changed);
-            long version = rows.get().version();
-            if (!changed.isEmpty()) {
-                FollowLog.answered(
-                        table,
-                        await.callId(),
-                        await.afterVersion(),
-                        version,
-                        changed.size(),
-                        response.timing(),
-                        receivedAt);
-            }
-            FollowInput input = FollowInput.ofAnswer(version, latest, changed.isEmpty());
-            observer.onFollowResult(table, await.callId(), FollowEvent.CHANGED, input);
+        WaitingCall key = new WaitingCall(table, await.callId());
+        StoreMessage.Call message = StoreMessage.follow(tableOf(table), await.afterVersion(), await.waitMillis());
+        StoreCall call = connections
+                .send(message, await.timeoutMillis())
+                .whenArriving(() -> observer.onAnswerArriving(table, await.callId()));
+        waiting.put(key, call);
+        call.response().whenResult(response -> {
+            waiting.remove(key);
+            onChanges(await, response);
         });
     }
 
-    /** Applies all rows of a table and returns the version of the newest one that nodes also gossip. */
-    private long applyAll(FollowedTable table, List<RawRow> rows, long version) {
-        if (table == FollowedTable.OPERATORS) {
-            operatorRows.applyAll(rows, version);
-            return newestVersion(rows.stream().mapToLong(RawRow::version));
+    private void onChanges(FollowEffect.Await await, StoreResponse response) {
+        long receivedAt = RelayLoop.now();
+        if (response.gone()) {
+            onAwaitFailed(await, FollowEvent.HISTORY_GONE, "the history is gone", response.timing());
+            return;
         }
-        List<StoredRow> shared = StoreRows.decode(rows, observer::knownRow);
-        observer.onAllRows(shared, version);
-        return newestOwnerVersion(shared);
-    }
-
-    /** Applies changed rows of a table and returns the version of the newest one that nodes also gossip. */
-    private long applyChanges(FollowedTable table, List<RawRow> rows) {
-        if (table == FollowedTable.OPERATORS) {
-            operatorRows.applyChanges(rows);
-            return newestVersion(rows.stream().mapToLong(RawRow::version));
+        Either<PlatformFault, Rows> rows = rowsOf(response);
+        if (rows.isLeft()) {
+            onAwaitFailed(await, FollowEvent.FAILED, rows.getLeft().detail(), response.timing());
+            return;
         }
-        List<StoredRow> shared = StoreRows.decode(rows, observer::knownRow);
-        if (!rows.isEmpty()) {
-            observer.onChangedRows(shared);
+        List<RawRow> changed = rows.get().rows();
+        long version = rows.get().version();
+        onRows(await.table(), await.callId(), FollowEvent.CHANGED, changed, version);
+        if (!changed.isEmpty()) {
+            FollowLog.answered(
+                    await.table(),
+                    await.callId(),
+                    await.afterVersion(),
+                    version,
+                    changed.size(),
+                    response.timing(),
+                    receivedAt);
         }
-        return newestOwnerVersion(shared);
     }
 
-    /** Returns the newest version among the owners of keys, the only shared rows that nodes gossip. */
-    private static long newestOwnerVersion(List<StoredRow> shared) {
-        return newestVersion(shared.stream()
-                .filter(row -> row.ref().table() == RowTable.KEYS)
-                .mapToLong(StoredRow::version));
+    private void onAwaitFailed(FollowEffect.Await await, FollowEvent event, String cause, ResponseTiming timing) {
+        FollowLog.failed(await.table(), await.callId(), await.afterVersion(), cause, timing);
+        onFailed(await.table(), await.callId(), event);
+    }
+
+    /** Passes on the rows of an answer with the version of the newest one that nodes also gossip. */
+    private void onRows(FollowedTable table, long callId, FollowEvent event, List<RawRow> raw, long version) {
+        boolean empty = event == FollowEvent.CHANGED && raw.isEmpty();
+        if (table == FollowedTable.OPERATORS) {
+            long latest = newestVersion(raw.stream().mapToLong(RawRow::version));
+            FollowInput input = FollowInput.ofAnswer(version, latest, empty);
+            observer.onOperatorRows(new FollowResult(table, callId, event, input), OperatorRows.decode(raw));
+            return;
+        }
+        List<StoredRow> rows = StoreRows.decode(raw, observer::knownRow);
+        long latest = newestVersion(
+                rows.stream().filter(row -> row.ref().table() == RowTable.KEYS).mapToLong(StoredRow::version));
+        FollowInput input = FollowInput.ofAnswer(version, latest, empty);
+        observer.onSharedRows(new FollowResult(table, callId, event, input), rows);
     }
 
     private static long newestVersion(LongStream versions) {
@@ -260,6 +267,7 @@
 
     @Override
     public void close() {
+        waiting.values().forEach(StoreCall::close);
         connections.close();
     }
 }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreObserver.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreObserver.java
@@ -1,17 +1,14 @@
 package org.verbenamast.relay.store;
 
 import java.util.List;
-import java.util.Set;
 
-import org.verbenamast.core.manifest.Manifest;
-import org.verbenamast.core.model.Zone;
 import org.verbenamast.core.rows.RowRef;
 import org.verbenamast.core.rows.StorePurpose;
 import org.verbenamast.core.rows.StoreResult;
 import org.verbenamast.core.rows.StoredRow;
-import org.verbenamast.core.watch.FollowEvent;
-import org.verbenamast.core.watch.FollowInput;
+import org.verbenamast.core.watch.FollowResult;
 import org.verbenamast.core.watch.FollowedTable;
+import org.verbenamast.core.watch.OperatorRow;
 
 /** Receives the results of calls to the store. */
 public interface StoreObserver {
@@ -34,41 +31,33 @@
     void onStoreResult(StorePurpose purpose, long callId, StoreResult result);
 
     /**
-     * Handles the outcome of a call that follows a table.
+     * Handles the first bytes of an answer to a call that waits for changes, of which more are to come.
      *
      * @param table the table
      * @param callId the number of the call
-     * @param event the outcome
-     * @param input the versions read and whether rows were received
      */
-    void onFollowResult(FollowedTable table, long callId, FollowEvent event, FollowInput input);
+    void onAnswerArriving(FollowedTable table, long callId);
 
     /**
-     * Handles changes of the shared rows, which every node follows.
+     * Handles a call that follows a table and ended without rows to read.
      *
-     * @param rows the changed rows
+     * @param result the end of the call
      */
-    void onChangedRows(List<StoredRow> rows);
+    void onFollowFailed(FollowResult result);
 
     /**
-     * Handles a full read of the shared rows at one version.
+     * Handles an answer with rows that operators wrote.
      *
-     * @param rows all shared rows
-     * @param version the version of the store at the time of the read
+     * @param result the end of the call
+     * @param rows the rows of the answer
      */
-    void onAllRows(List<StoredRow> rows, long version);
+    void onOperatorRows(FollowResult result, List<OperatorRow> rows);
 
     /**
-     * Handles a manifest written by operators.
+     * Handles an answer with shared rows, which every node follows.
      *
-     * @param manifest the manifest
+     * @param result the end of the call
+     * @param rows the rows of the answer
      */
-    void onManifest(Manifest manifest);
-
-    /**
-     * Handles a change of the evacuated zones: those that operators have taken out of service.
-     *
-     * @param zones all evacuated zones
-     */
-    void onEvacuatedZones(Set<Zone> zones);
+    void onSharedRows(FollowResult result, List<StoredRow> rows);
 }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/BeliefLog.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/BeliefLog.java
@@ -5,6 +5,7 @@
 import org.verbenamast.core.chart.Transition;
 import org.verbenamast.core.keys.GrantedKeys;
 import org.verbenamast.core.keys.KeyEffect;
+import org.verbenamast.core.manifest.Manifest;
 import org.verbenamast.core.roster.ServerIncarnation;
 
 /** Logs changes in a node's view of the cluster: state transitions, and keys granted to or withdrawn from a server. */
@@ -41,6 +42,18 @@
                 LogField.SUBJECT.of(subject));
     }
 
+    /**
+     * Logs that a version of the manifest has come into force.
+     *
+     * @param manifest the manifest
+     */
+    public static void manifestInForce(Manifest manifest) {
+        LOG.info(
+                "manifest {} in force, {} routes",
+                manifest.version(),
+                manifest.routes().size());
+    }
+
     /**
      * Logs that the server was granted keys.
      *
