Full reads: complete up to the version of their first page

Cause: each page of a table is as of a moment of its own, and the version of the last one was taken for all. A row on an earlier page that changed between the pages was never asked for again, and one that was written then and had come from another node counted as deleted. Change: the read has the version of its first page; the next call brings what has changed since. TablePagesTest fails without it (version 9 instead of 7).

--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/TablePages.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/TablePages.java
@@ -25,7 +25,7 @@
 
     TablePages with(Rows page, ResponseTiming pageTiming) {
         List<RawRow> all = Stream.concat(rows.stream(), page.rows().stream()).toList();
-        return new TablePages(all, page.version(), timing.withNextPage(pageTiming));
+        return new TablePages(all, rows.isEmpty() ? page.version() : version, timing.withNextPage(pageTiming));
     }
 
     /** Returns the key of the last row, after which the next page begins. */
