Followed tables: an answer is as old as its call

Cause: a node took the time at which it handled an answer as the time at which the answer was true, and told others that age. A node that was frozen told them that the store had just answered it; they put off the call by which they would have noticed that their own was lost. Change: an answer with rows is true as of its call, one without rows as of the end of its wait, both by the node's own clock. FollowCallsTest has both cases, which fail without it.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowData.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowData.java
@@ -54,7 +54,8 @@
     }
 
     FollowData withAnswer(FollowInput answer, long now) {
-        return with(copy.withAnswer(answer, now)).with(calls.withAnswer());
+        FollowCall call = calls.find(answer.callId()).orElseThrow();
+        return with(copy.withAnswer(answer, call.trueAt(answer.empty(), now))).with(calls.withAnswer());
     }
 
     FollowData withResumeAt(long at) {
--- a/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowCallsTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowCallsTest.java
@@ -93,4 +93,35 @@
         assertThat(calls(FollowedTable.OPERATORS)).hasSize(2);
         assertThat(answer(lastCall(), 9)).isTrue();
     }
+
+    /** Guards against a node that was frozen and tells others that it has just been answered. */
+    @Test
+    void should_report_the_time_of_its_call_when_it_reads_the_answer_late() {
+        // given
+        startController();
+        runFor(2_000);
+        FollowEffect.Await call = lastCall();
+        now += Timing.millisToNanos(5_000);
+
+        // when
+        answer(call, 9);
+
+        // then
+        assertThat(controller.versions(now).operatorsAgeMillis()).isEqualTo(7_000);
+    }
+
+    @Test
+    void should_report_the_end_of_the_wait_when_an_answer_without_rows_is_read_late() {
+        // given
+        startController();
+        FollowEffect.Await call = lastCall();
+        now += Timing.millisToNanos(call.waitMillis() + 5_000);
+
+        // when
+        FollowInput nothing = FollowInput.ofAnswer(7, 0, true);
+        controller.onCallEnded(call.table(), call.callId(), FollowEvent.CHANGED, nothing, now, effects::add);
+
+        // then
+        assertThat(controller.versions(now).operatorsAgeMillis()).isEqualTo(5_000);
+    }
 }
