Followed tables: a pause before all rows are read after lost history

Cause: after the answer that the history is gone a node read all rows at once. Where the store reads from a replica that is behind its own history, the next call is told the same, and so on at the pace of the network, by every node at the same moment.

--- a/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowCallsTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowCallsTest.java
@@ -124,4 +124,23 @@
         // then
         assertThat(controller.versions(now).operatorsAgeMillis()).isEqualTo(5_000);
     }
+
+    /** Guards against a store that reads from a replica behind its history and is asked again without end. */
+    @Test
+    void should_pause_between_reads_when_the_history_is_gone_each_time() {
+        // given
+        startController();
+
+        // when
+        for (int tenMillis = 0; tenMillis < 20; tenMillis++) {
+            FollowEffect.Await call = lastCall();
+            controller.onCallEnded(
+                    call.table(), call.callId(), FollowEvent.HISTORY_GONE, FollowInput.NONE, now, effects::add);
+            runFor(10);
+            answerReads();
+        }
+
+        // then
+        assertThat(reads(FollowedTable.OPERATORS)).hasSizeLessThan(4);
+    }
 }
