Followed tables: changes that are longer than the table are not received

Cause: the store keeps every version of a row and answers a waiting call with all of them. From 4 MiB on, some 12 versions, such an answer was closed each time and the node could not catch up before the history ended.

A longer answer is closed at its head, or as soon as it is longer, and the table is read instead, whose length does not depend on how many versions were missed.

Measured: StoreCallTest has both forms of an answer that is too long, FollowCallsTest the read.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowAction.java
@@ -25,7 +25,12 @@
             long wait = data.table().waitMillis(data.random().getAsDouble());
             FollowCall call = new FollowCall(data.calls().lastId() + 1, now, wait);
             FollowData next = cancel(data, data.calls().surplus(), effects).withCall(call);
-            effects.emit(new FollowEffect.Await(data.table(), data.copy().version(), wait, call.id()));
+            effects.emit(new FollowEffect.Await(
+                    data.table(),
+                    data.copy().version(),
+                    wait,
+                    call.id(),
+                    data.copy().maxChangeBytes()));
             return next;
         }
     },
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowEffect.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowEffect.java
@@ -44,13 +44,16 @@
      * @param afterVersion the version after which changes are requested
      * @param waitMillis how long the store may wait for a change before it answers, in milliseconds
      * @param callId the number of the call
+     * @param maxBytes the length from which on an answer is not received, in bytes
      */
-    record Await(FollowedTable table, long afterVersion, long waitMillis, long callId) implements FollowEffect {
+    record Await(FollowedTable table, long afterVersion, long waitMillis, long callId, long maxBytes)
+            implements FollowEffect {
 
-        /** Checks that the table is present and the wait positive. */
+        /** Checks that the table is present, and that the wait and the length are positive. */
         public Await {
             Objects.requireNonNull(table, "table");
             Checks.positive("waitMillis", waitMillis);
+            Checks.positive("maxBytes", maxBytes);
         }
 
         /**
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowEvent.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowEvent.java
@@ -20,6 +20,8 @@
             return true;
         }
     },
+    /** The changes since the known version are longer than the whole table, and have not been received. */
+    OVERSIZED,
     /** The store no longer has all changes since the known version, so that all rows have to be read again. */
     HISTORY_GONE,
     /** A call to the store failed, or was answered with an older version than the one held. */
--- a/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowCallsTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowCallsTest.java
@@ -125,6 +125,24 @@
         assertThat(controller.versions(now).operatorsAgeMillis()).isEqualTo(5_000);
     }
 
+    /** Guards against a node that receives every version it missed, which takes longer than new ones come. */
+    @Test
+    void should_read_the_table_when_the_changes_since_its_version_are_longer() {
+        // given
+        startController();
+        runFor(1_500);
+        FollowEffect.Await call = lastCall();
+
+        // when
+        controller.onCallEnded(call.table(), call.callId(), FollowEvent.OVERSIZED, FollowInput.NONE, now, effects::add);
+        answerReads();
+
+        // then
+        assertThat(reads(FollowedTable.OPERATORS)).hasSize(2);
+        assertThat(lastCall().callId()).isGreaterThan(call.callId());
+        assertThat(lastCall().maxBytes()).isGreaterThan(0);
+    }
+
     /** Guards against a store that reads from a replica behind its history and is asked again without end. */
     @Test
     void should_pause_between_reads_when_the_history_is_gone_each_time() {
--- a/verbenamast-core/src/test/java/org/verbenamast/core/watch/VirtualFollowers.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/watch/VirtualFollowers.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
 
@@ -21,6 +22,9 @@
 
     private static final long STEP_MILLIS = 10;
 
+    /** Length of the one row that changes, in bytes. */
+    private static final long ROW_BYTES = 350_000;
+
     /** Time without impairment after which the platform counts a node as in contact. */
     private static final long CONTACT_MILLIS = 3_000;
 
@@ -40,59 +44,60 @@
     /**
      * A call that is pending at the store, or that was lost in the network and ends by its time-out.
      *
-     * @param await the call
-     * @param startedAt the time of the call, in milliseconds
+     * @param id the number of the call
+     * @param after the version after which changes are requested; nothing for a read of all rows
+     * @param timeoutMillis the time-out of the call, in milliseconds
+     * @param maxBytes the length from which on the answer is not received, in bytes
      * @param endsAt the time when the store answers without rows or, if the call was lost, of its time-out, in
      *     milliseconds
      * @param lost whether the call was lost
      * @param answer the version that the store has answered with; 0 while it waits for a change
-     * @param left the share of the answer that has not arrived, from 0 to 1
+     * @param left how many rows have not arrived, in parts of a row
      * @param reported whether the node knows that the answer is arriving
      */
     private record Call(
-            FollowEffect.Await await,
-            long startedAt,
+            long id,
+            OptionalLong after,
+            long timeoutMillis,
+            long maxBytes,
             long endsAt,
             boolean lost,
             long answer,
             double left,
             boolean reported) {
 
-        private static Call pending(FollowEffect.Await await, long now) {
-            return new Call(await, now, now + await.waitMillis(), false, 0, 0, false);
-        }
-
         private Call lostUntil(long timeoutAt) {
-            return new Call(await, startedAt, timeoutAt, true, 0, 0, false);
+            return new Call(id, after, timeoutMillis, maxBytes, timeoutAt, true, 0, 0, false);
         }
 
-        /** Lets the store answer if it has a change or the wait is over. */
+        /** Lets the store answer if it has a change or the wait is over: with one row for each change. */
         private Call advance(long version, long now) {
-            boolean changed = version > await.afterVersion();
-            boolean due = !lost && answer == 0 && (changed || now >= endsAt);
-            return due ? new Call(await, startedAt, endsAt, false, version, changed ? 1 : 0, false) : this;
+            long rows = after.isPresent() ? version - after.getAsLong() : 1;
+            boolean due = !lost && answer == 0 && (rows > 0 || now >= endsAt);
+            return due ? new Call(id, after, timeoutMillis, maxBytes, endsAt, false, version, rows, false) : this;
         }
 
-        private Call received(double share) {
-            return arriving() ? new Call(await, startedAt, endsAt, lost, answer, left - share, reported) : this;
+        private Call received(double rows) {
+            return arriving()
+                    ? new Call(id, after, timeoutMillis, maxBytes, endsAt, lost, answer, left - rows, reported)
+                    : this;
         }
 
         private boolean arriving() {
             return left > 0;
         }
 
-        private FollowInput input() {
-            boolean empty = answer <= await.afterVersion();
-            return FollowInput.ofAnswer(answer, empty ? 0 : answer, empty);
+        private boolean oversized() {
+            return after.isPresent() && (answer - after.getAsLong()) * ROW_BYTES > maxBytes;
         }
 
-        private Call withReport() {
-            return new Call(await, startedAt, endsAt, lost, answer, left, true);
+        private FollowInput input() {
+            boolean empty = after.isPresent() && answer <= after.getAsLong();
+            return FollowInput.ofAnswer(answer, empty ? 0 : answer, empty).withBytes(empty ? 0 : ROW_BYTES);
         }
 
-        /** Returns whether the time for the first byte is over; an answer that has begun may take any time. */
-        private boolean timedOut(long now) {
-            return left <= 0 && now - startedAt >= await.timeoutMillis();
+        private Call withReport() {
+            return new Call(id, after, timeoutMillis, maxBytes, endsAt, lost, answer, left, true);
         }
     }
 
@@ -100,39 +105,38 @@
 
         private final FollowController controller = new FollowController(random::nextDouble, TransitionListener.NONE);
         private final List<Call> pending = new ArrayList<>();
-        private final List<Long> reads = new ArrayList<>();
         private long known;
         private long impairedUntil;
 
         private void execute(Effect effect) {
             if (effect instanceof FollowEffect.ReadAll read && read.table() == FollowedTable.OPERATORS) {
-                reads.add(read.callId());
+                OptionalLong all = OptionalLong.empty();
+                add(new Call(read.callId(), all, read.timeoutMillis(), 0, millis, false, 0, 0, false));
             } else if (effect instanceof FollowEffect.Await await && await.table() == FollowedTable.OPERATORS) {
                 calls++;
-                Call call = Call.pending(await, millis);
-                pending.add(cut.contains(this) ? call.lostUntil(millis + await.timeoutMillis()) : call);
+                OptionalLong after = OptionalLong.of(await.afterVersion());
+                long endsAt = millis + await.waitMillis();
+                long timeout = await.timeoutMillis();
+                add(new Call(await.callId(), after, timeout, await.maxBytes(), endsAt, false, 0, 0, false));
             } else if (effect instanceof FollowEffect.Cancel cancel && cancel.table() == FollowedTable.OPERATORS) {
-                pending.removeIf(call -> call.await().callId() == cancel.callId());
+                brokenOff += pending.removeIf(call -> call.id() == cancel.callId() && call.reported()) ? 1 : 0;
+                pending.removeIf(call -> call.id() == cancel.callId());
             }
         }
 
-        private void answer(long callId, FollowEvent event, FollowInput input) {
-            known = Math.max(known, input.latest());
-            controller.onCallEnded(FollowedTable.OPERATORS, callId, event, input, now(), this::execute);
+        private void add(Call call) {
+            pending.add(cut.contains(this) ? call.lostUntil(millis + call.timeoutMillis()) : call);
         }
 
         private void step() {
-            if (frozen.contains(this)) {
-                transfer();
-                return;
+            if (!frozen.contains(this)) {
+                controller.advance(now(), this::execute);
             }
-            controller.advance(now(), this::execute);
-            List<Long> answered = List.copyOf(reads);
-            reads.clear();
-            answered.forEach(callId -> answer(callId, FollowEvent.READ, FollowInput.ofAnswer(version, version, false)));
             transfer();
-            List.copyOf(pending).forEach(this::report);
-            List.copyOf(pending).forEach(this::end);
+            if (!frozen.contains(this)) {
+                List.copyOf(pending).forEach(this::report);
+                List.copyOf(pending).forEach(this::end);
+            }
         }
 
         /** Receives parts of the answers that are arriving, each at an equal share of the link. */
@@ -144,29 +148,30 @@
         }
 
         private void report(Call call) {
-            if (pending.contains(call) && call.arriving() && !call.reported()) {
+            if (!pending.contains(call) || !call.arriving() || call.reported()) {
+                return;
+            }
+            if (call.oversized()) {
+                end(call, FollowEvent.OVERSIZED, FollowInput.NONE);
+            } else {
                 pending.set(pending.indexOf(call), call.withReport());
-                controller.onAnswerArriving(
-                        FollowedTable.OPERATORS, call.await().callId(), now(), this::execute);
+                controller.onAnswerArriving(FollowedTable.OPERATORS, call.id(), now(), this::execute);
             }
         }
 
         private void end(Call call) {
-            if (!pending.contains(call)) {
-                return;
-            }
-            boolean brokenOffNow = call.arriving() && call.timedOut(millis);
-            brokenOff += brokenOffNow ? 1 : 0;
-            if (brokenOffNow || call.lost() && millis >= call.endsAt()) {
+            if (call.lost() && millis >= call.endsAt()) {
                 end(call, FollowEvent.FAILED, FollowInput.NONE);
-            } else if (call.answer() > 0 && !call.arriving()) {
-                end(call, FollowEvent.CHANGED, call.input());
+            } else if (pending.contains(call) && call.answer() > 0 && !call.arriving()) {
+                FollowEvent event = call.after().isPresent() ? FollowEvent.CHANGED : FollowEvent.READ;
+                known = Math.max(known, call.input().latest());
+                end(call, event, call.input());
             }
         }
 
         private void end(Call call, FollowEvent event, FollowInput input) {
             pending.remove(call);
-            answer(call.await().callId(), event, input);
+            controller.onCallEnded(FollowedTable.OPERATORS, call.id(), event, input, now(), this::execute);
         }
     }
 
@@ -178,7 +183,7 @@
         }
     }
 
-    /** Sets how long an answer with rows takes to arrive if no other one is arriving at the node, in milliseconds. */
+    /** Sets how long a row takes to arrive if no other answer is arriving at the node, in milliseconds. */
     void answersTake(long transferTimeMillis) {
         transferMillis = transferTimeMillis;
     }
@@ -220,7 +225,7 @@
         }
     }
 
-    /** Returns how many calls have timed out while their answer arrived. */
+    /** Returns how many calls were cancelled while their answer arrived. */
     int brokenOffAnswers() {
         return brokenOff;
     }
@@ -238,8 +243,7 @@
         for (Node node : nodes) {
             if (random.nextDouble() < share) {
                 cut.add(node);
-                node.pending.replaceAll(
-                        call -> call.lostUntil(call.endsAt() + call.await().timeoutMillis()));
+                node.pending.replaceAll(call -> call.lostUntil(call.endsAt() + call.timeoutMillis()));
             }
         }
     }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreCall.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreCall.java
@@ -10,6 +10,7 @@
 import io.activej.reactor.schedule.ScheduledRunnable;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.verbenamast.core.node.Timing;
@@ -28,13 +29,12 @@
     private static final long MAX_TRANSFER_MILLIS = 20_000;
     /** Delay of a timer above which this process was suspended, so that bytes may be waiting to be read. */
     private static final long SUSPENSION_NANOS = Timing.millisToNanos(250);
-    /** Longest body of a response that is read, in bytes; four times the store's limit on the rows of one. */
-    private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
 
     private static final Logger LOG = LoggerFactory.getLogger(StoreCall.class);
 
     private final Eventloop eventloop;
     private final long firstByteTimeoutMillis;
+    private final long maxBytes;
     private final Consumer<HttpLink> reuse;
     private final SettablePromise<StoreResponse> response = new SettablePromise<>();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -52,11 +52,13 @@
      *
      * @param eventloop the event loop of the process
      * @param firstByteTimeoutMillis the time limit for the first byte of the response, in milliseconds
+     * @param maxBytes the length from which on a response is not received, in bytes
      * @param reuse receives the connection once it can carry another call
      */
-    StoreCall(Eventloop eventloop, long firstByteTimeoutMillis, Consumer<HttpLink> reuse) {
+    StoreCall(Eventloop eventloop, long firstByteTimeoutMillis, long maxBytes, Consumer<HttpLink> reuse) {
         this.eventloop = Objects.requireNonNull(eventloop, "eventloop");
         this.firstByteTimeoutMillis = firstByteTimeoutMillis;
+        this.maxBytes = maxBytes;
         this.reuse = Objects.requireNonNull(reuse, "reuse");
     }
 
@@ -131,19 +133,26 @@
     public void onHead(HttpResponse head) {
         status = head.status().code();
         recordPart(0);
+        if (HttpUtil.getContentLength(head, 0L) > maxBytes) {
+            onOversized();
+        }
     }
 
     @Override
     public void onBody(byte[] bytes) {
         recordPart(bytes.length);
-        if (body.size() + bytes.length > MAX_BODY_BYTES) {
-            LOG.warn("closing a connection to the store: its response exceeds {} bytes", MAX_BODY_BYTES);
-            onFailure();
+        if (body.size() + bytes.length > maxBytes) {
+            onOversized();
             return;
         }
         body.writeBytes(bytes);
     }
 
+    private void onOversized() {
+        LOG.info("closing a connection to the store: its response is longer than {} bytes", maxBytes);
+        end(StoreResponse.oversized(timing));
+    }
+
     @Override
     public void onComplete() {
         HttpLink used = link;
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
@@ -170,7 +170,7 @@
                         readPages(all, pages.lastKey() + '\0', pages);
                         return;
                     }
-                    onRows(all.table(), all.callId(), FollowEvent.READ, pages.rows(), pages.version());
+                    onRows(all.table(), all.callId(), FollowEvent.READ, pages.answer(), pages.rows());
                     FollowLog.answered(
                             all.table(),
                             all.callId(),
@@ -205,7 +205,7 @@
         WaitingCall key = new WaitingCall(table, await.callId());
         StoreMessage.Call message = StoreMessage.follow(tableOf(table), await.afterVersion(), await.waitMillis());
         StoreCall call = connections
-                .send(message, await.timeoutMillis())
+                .send(message, await.timeoutMillis(), await.maxBytes())
                 .whenArriving(() -> observer.onAnswerArriving(table, await.callId()));
         waiting.put(key, call);
         call.response().whenResult(response -> {
@@ -220,6 +220,10 @@
             onAwaitFailed(await, FollowEvent.HISTORY_GONE, "the history is gone", response.timing());
             return;
         }
+        if (response.oversized()) {
+            onAwaitFailed(await, FollowEvent.OVERSIZED, "the changes are longer than the table", response.timing());
+            return;
+        }
         Either<PlatformFault, Rows> rows = rowsOf(response);
         if (rows.isLeft()) {
             onAwaitFailed(await, FollowEvent.FAILED, rows.getLeft().detail(), response.timing());
@@ -227,7 +231,8 @@
         }
         List<RawRow> changed = rows.get().rows();
         long version = rows.get().version();
-        onRows(await.table(), await.callId(), FollowEvent.CHANGED, changed, version);
+        FollowInput answer = FollowInput.ofAnswer(version, 0, changed.isEmpty()).withBytes(response.body().length);
+        onRows(await.table(), await.callId(), FollowEvent.CHANGED, answer, changed);
         if (!changed.isEmpty()) {
             FollowLog.answered(
                     await.table(),
@@ -246,19 +251,17 @@
     }
 
     /** Passes on the rows of an answer with the version of the newest one that nodes also gossip. */
-    private void onRows(FollowedTable table, long callId, FollowEvent event, List<RawRow> raw, long version) {
-        boolean empty = event == FollowEvent.CHANGED && raw.isEmpty();
+    private void onRows(FollowedTable table, long callId, FollowEvent event, FollowInput answer, List<RawRow> raw) {
         if (table == FollowedTable.OPERATORS) {
             long latest = newestVersion(raw.stream().mapToLong(RawRow::version));
-            FollowInput input = FollowInput.ofAnswer(version, latest, empty);
-            observer.onOperatorRows(new FollowResult(table, callId, event, input), OperatorRows.decode(raw));
+            observer.onOperatorRows(
+                    new FollowResult(table, callId, event, answer.withLatest(latest)), OperatorRows.decode(raw));
             return;
         }
         List<StoredRow> rows = StoreRows.decode(raw, observer::knownRow);
         long latest = newestVersion(
                 rows.stream().filter(row -> row.ref().table() == RowTable.KEYS).mapToLong(StoredRow::version));
-        FollowInput input = FollowInput.ofAnswer(version, latest, empty);
-        observer.onSharedRows(new FollowResult(table, callId, event, input), rows);
+        observer.onSharedRows(new FollowResult(table, callId, event, answer.withLatest(latest)), rows);
     }
 
     private static long newestVersion(LongStream versions) {
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreConnectionPool.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreConnectionPool.java
@@ -20,6 +20,9 @@
     /** Leaves time for one retransmission: TCP resends a lost packet after one second. */
     private static final long CONNECT_TIMEOUT_MILLIS = 1_200;
 
+    /** Longest body of a response that is read, in bytes; four times the store's limit on the rows of one. */
+    private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
+
     private final Eventloop eventloop;
     private final Address store;
     private final Deque<HttpLink> idle = new ArrayDeque<>();
@@ -37,7 +40,20 @@
      * @return the call in progress
      */
     StoreCall send(StoreMessage.Call call, long firstByteTimeoutMillis) {
-        StoreCall pending = new StoreCall(eventloop, firstByteTimeoutMillis, idle::add);
+        return send(call, firstByteTimeoutMillis, MAX_BODY_BYTES);
+    }
+
+    /**
+     * Sends a call whose response is not received if it is too long.
+     *
+     * @param call the call
+     * @param firstByteTimeoutMillis the time limit for the first byte of the response, in milliseconds
+     * @param maxBytes the length from which on the response is not received, in bytes
+     * @return the call in progress
+     */
+    StoreCall send(StoreMessage.Call call, long firstByteTimeoutMillis, long maxBytes) {
+        long longest = Math.min(maxBytes, MAX_BODY_BYTES);
+        StoreCall pending = new StoreCall(eventloop, firstByteTimeoutMillis, longest, idle::add);
         for (HttpLink link = idle.poll(); link != null; link = idle.poll()) {
             if (link.reusable()) {
                 pending.send(link, request(call));
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreResponse.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreResponse.java
@@ -5,12 +5,13 @@
 /**
  * A response of the store.
  *
- * @param status the HTTP status; 0 if the store sent no response
+ * @param status the HTTP status; 0 if the store sent no response, -1 if the response is longer than allowed
  * @param body the body; empty if there is none
  * @param timing when the parts of the response arrived, also if it is not complete
  */
 record StoreResponse(int status, byte[] body, ResponseTiming timing) {
 
+    private static final int OVERSIZED = -1;
     private static final int OK = 200;
     private static final int PRECONDITION_FAILED = 412;
     private static final int GONE = 410;
@@ -22,6 +23,11 @@
         return new StoreResponse(0, new byte[0], timing);
     }
 
+    /** Returns what stands for a response that was not received as it is longer than allowed. */
+    static StoreResponse oversized(ResponseTiming timing) {
+        return new StoreResponse(OVERSIZED, new byte[0], timing);
+    }
+
     /** Returns what stands for a call that was never sent, so that it certainly had no effect. */
     static StoreResponse unsent(ResponseTiming timing) {
         return new StoreResponse(SERVICE_UNAVAILABLE, new byte[0], timing);
@@ -35,6 +41,10 @@
         return status == PRECONDITION_FAILED;
     }
 
+    boolean oversized() {
+        return status == OVERSIZED;
+    }
+
     boolean gone() {
         return status == GONE;
     }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/TablePages.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/TablePages.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import java.util.stream.Stream;
 
+import org.verbenamast.core.watch.FollowInput;
 import org.verbenamast.platform.StoreMessage.RawRow;
 import org.verbenamast.platform.StoreMessage.Rows;
 
@@ -28,6 +29,11 @@
         return new TablePages(all, rows.isEmpty() ? page.version() : version, timing.withNextPage(pageTiming));
     }
 
+    /** Returns the pages as one answer. */
+    FollowInput answer() {
+        return FollowInput.ofAnswer(version, 0, false).withBytes(timing.bytes());
+    }
+
     /** Returns the key of the last row, after which the next page begins. */
     String lastKey() {
         return rows.get(rows.size() - 1).key();
--- a/verbenamast-relay/src/test/java/org/verbenamast/relay/store/StoreCallTest.java
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/store/StoreCallTest.java
@@ -16,6 +16,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.verbenamast.core.model.Address;
 import org.verbenamast.platform.StoreMessage;
 
@@ -29,6 +31,7 @@
     private static final long CONTACT_MILLIS = 3_000;
 
     private static final long FIRST_BYTE_TIMEOUT_MILLIS = 400;
+    private static final int MAX_BYTES = 100;
     private static final String HEAD = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n";
 
     private final Eventloop eventloop = Eventloop.builder().withCurrentThread().build();
@@ -82,7 +85,7 @@
     private void run(long closeAfterMillis) {
         eventloop.keepAlive(true);
         eventloop.post(() -> {
-            StoreCall call = pool.send(StoreMessage.follow("t", 0, 1), FIRST_BYTE_TIMEOUT_MILLIS)
+            StoreCall call = pool.send(StoreMessage.follow("t", 0, 1), FIRST_BYTE_TIMEOUT_MILLIS, MAX_BYTES)
                     .whenArriving(() -> arrivals.add(responses.size()));
             call.response().whenResult(response -> {
                 responses.add(response);
@@ -160,4 +163,21 @@
         server.join();
         assertThat(closedByClient).isTrue();
     }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 1000", "Transfer-Encoding: chunked"})
+    void should_not_receive_a_response_that_is_longer_than_allowed(String length) throws Exception {
+        // given
+        String chunk = "64\r\n" + "x".repeat(100) + "\r\n";
+        serve(out -> write(out, "HTTP/1.1 200 OK\r\n" + length + "\r\n\r\n" + chunk.repeat(2)));
+
+        // when
+        run(0);
+
+        // then
+        assertThat(responses).hasSize(1);
+        assertThat(responses.get(0).oversized()).isTrue();
+        server.join();
+        assertThat(closedByClient).isTrue();
+    }
 }
