Row writer: rows that were found by reading back are sent to the others

Cause: where the store's answer to a transaction is lost, the writer reads the row back and finds it written, but only the step after an answered commit sent it to the other members. They learnt a new key map up to 5 s later and asked the old owner until then. Change: the rows that were read back are sent too. RowWriterReadBackTest fails without it.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/rows/RowWriterAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/rows/RowWriterAction.java
@@ -36,10 +36,7 @@
                     .map(change -> change.committedRow(input.version()))
                     .toList();
             data.replica().apply(written);
-            List<StoredRow> followed = written.stream()
-                    .filter(row -> row.ref().table().isFollowed())
-                    .toList();
-            effects.emit(new BroadcastRows(followed));
+            send(written, effects);
             return data;
         }
     },
@@ -50,5 +47,19 @@
             data.replica().apply(input.rows());
             return data;
         }
+    },
+    /** Sends the rows in the store's answer to the other members: the transaction may have written them. */
+    SEND_ROWS {
+        @Override
+        public RowWriterData apply(RowWriterData data, RowWriterInput input, long now, Effects effects) {
+            send(input.rows(), effects);
+            return data;
+        }
+    };
+
+    private static void send(List<StoredRow> rows, Effects effects) {
+        List<StoredRow> followed =
+                rows.stream().filter(row -> row.ref().table().isFollowed()).toList();
+        effects.emit(new BroadcastRows(followed));
     }
 }
