Followed tables: the last call decides, beside one that may be lost

Cause, found by an independent review of the redesign: beside a call that was lost, the failure of a later one was ignored, as another call was pending; the retry came after 1 to 2 s in place of 0.1 s, and lost history was not acted on for 12 s. A store whose answers begin after more than 4 s was never caught up with, since the older of two calls was cancelled for each new one. Reads after lost history did not slow down. Change: the end of the last call decides what follows and ends the older one; the end of a replaced call is only recorded. Lost history is a fact of the table, whichever call is told. The oldest call stays until it ends, the one between is cancelled. The retry delay grows with the losses of the history until a waiting call is answered.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowAction.java
@@ -50,13 +50,21 @@
             return next.withAnswer(input, now).withoutCalls(next.calls().pending());
         }
     },
-    /** Records that a call has ended without an answer that this node can use. */
+    /** Records that a replaced call has ended without an answer that this node can use. */
     DROP_CALL {
         @Override
         public FollowData apply(FollowData data, FollowInput input, long now, Effects effects) {
             return data.withoutCalls(data.calls().find(input.callId()).stream().toList());
         }
     },
+    /** Records that the last call has ended without an answer that this node can use; a replaced call is cancelled. */
+    END_CALLS {
+        @Override
+        public FollowData apply(FollowData data, FollowInput input, long now, Effects effects) {
+            FollowData next = cancel(data, data.calls().others(input.callId()), effects);
+            return next.withoutCalls(next.calls().pending());
+        }
+    },
     /** Schedules the next call after the delay that lets further changes accumulate. */
     SCHEDULE_CALL {
         @Override
@@ -91,6 +99,13 @@
         public FollowData apply(FollowData data, FollowInput input, long now, Effects effects) {
             return data.with(data.calls().withFailure());
         }
+    },
+    /** Counts a loss of the history; the delay of the read that follows grows until a waiting call is answered. */
+    COUNT_LOSS {
+        @Override
+        public FollowData apply(FollowData data, FollowInput input, long now, Effects effects) {
+            return data.with(data.calls().withLostHistory());
+        }
     };
 
     private static FollowData cancel(FollowData data, List<FollowCall> calls, Effects effects) {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowData.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowData.java
@@ -55,7 +55,7 @@
 
     FollowData withAnswer(FollowInput answer, long now) {
         FollowCall call = calls.find(answer.callId()).orElseThrow();
-        return with(copy.withAnswer(answer, call, now)).with(calls.withAnswer());
+        return with(copy.withAnswer(answer, call, now)).with(calls.withAnswer(call));
     }
 
     FollowData withResumeAt(long at) {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowEffect.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowEffect.java
@@ -33,7 +33,7 @@
          * @return the time after which the call is considered lost, in milliseconds
          */
         public long timeoutMillis() {
-            return failures == 0 ? ANSWER_MARGIN_MILLIS : 2 * ANSWER_MARGIN_MILLIS;
+            return failures == 0 ? ANSWER_MARGIN_MILLIS : ANSWER_MARGIN_MILLIS + ANSWER_MARGIN_MILLIS / 2;
         }
     }
 
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowGuard.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowGuard.java
@@ -11,11 +11,11 @@
             return input.empty() || data.pauseNanos(now) == 0;
         }
     },
-    /** Another call, which may still be answered, is pending beside the one that has ended. */
-    ANOTHER_CALL_PENDING {
+    /** The call is not the last one: a later one has replaced it and decides what follows. */
+    REPLACED {
         @Override
         public boolean permits(FollowData data, FollowInput input, long now) {
-            return !data.calls().others(input.callId()).isEmpty();
+            return input.callId() != data.calls().lastId();
         }
     },
     /** The row that another node knows is newer than any that this node is known to lack. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowTimer.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowTimer.java
@@ -62,9 +62,8 @@
 
         @Override
         public long delayNanos(FollowData data, long now) {
-            return Timing.millisToNanos(Math.min(
-                    MAX_RETRY_DELAY_MILLIS,
-                    INITIAL_RETRY_DELAY_MILLIS * data.calls().failures()));
+            long attempts = Math.max(data.calls().failures(), data.calls().lostHistories());
+            return Timing.millisToNanos(Math.min(MAX_RETRY_DELAY_MILLIS, INITIAL_RETRY_DELAY_MILLIS * attempts));
         }
     };
 
