Store client: each call that follows a table ends, whatever its answer holds

Cause, by reading: an error while an answer was decoded left the call pending for ever, so that the table was followed no more; an error answer in two pieces cancelled the other, healthy call; an answer whose rows were all unreadable counted as one without changes; the connection that had been idle for longest was used first, so that dead ones cost a call each. Change: one place ends a call and turns any error into a failed call; only a successful answer reports that it arrives; skipped rows are changes; the connection used last is used first. How the rows of a table are named, decoded and passed on is behaviour of the enum TableRows. Result: the module's tests pass; no test drives a decoder's error through the client.

--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreCall.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreCall.java
@@ -10,6 +10,7 @@
 import io.activej.reactor.schedule.ScheduledRunnable;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -87,7 +88,7 @@
         return response;
     }
 
-    /** Sets what to run when the first bytes of a response have arrived that is not complete with them. */
+    /** Sets what to run when the first bytes of a successful response have arrived, and more are to come. */
     StoreCall whenArriving(Runnable action) {
         onArriving = Objects.requireNonNull(action, "action");
         return this;
@@ -122,7 +123,7 @@
         if (first) {
             startTimer(Timing.millisToNanos(STALL_TIMEOUT_MILLIS));
             eventloop.post(() -> {
-                if (!ended) {
+                if (!ended && status == HttpResponseStatus.OK.code()) {
                     onArriving.run();
                 }
             });
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.stream.LongStream;
 
 import io.activej.eventloop.Eventloop;
 import io.activej.promise.Promise;
@@ -15,7 +14,6 @@
 import org.slf4j.LoggerFactory;
 import org.verbenamast.core.model.Address;
 import org.verbenamast.core.rows.RowRef;
-import org.verbenamast.core.rows.RowTable;
 import org.verbenamast.core.rows.StoreEffect;
 import org.verbenamast.core.rows.StoreResult;
 import org.verbenamast.core.rows.StoredRow;
@@ -147,39 +145,42 @@
         }
     }
 
-    private static String tableOf(FollowedTable table) {
-        return table == FollowedTable.OPERATORS ? StoreMessage.OPERATORS_TABLE : StoreRows.SHARED_TABLE;
-    }
-
     private void readPages(FollowEffect.ReadAll all, String fromKey, TablePages previous) {
         connections
-                .send(StoreMessage.read(tableOf(all.table()), fromKey, MAX_PAGE_ROWS), all.timeoutMillis())
+                .send(
+                        StoreMessage.read(TableRows.of(all.table()).storeTable(), fromKey, MAX_PAGE_ROWS),
+                        all.timeoutMillis())
                 .response()
-                .whenResult(response -> {
-                    long receivedAt = RelayLoop.now();
-                    Either<PlatformFault, Rows> rows = rowsOf(response);
-                    if (rows.isLeft()) {
-                        ResponseTiming timing = previous.timing().withNextPage(response.timing());
-                        FollowLog.failed(
-                                all.table(), all.callId(), 0, rows.getLeft().detail(), timing);
-                        onFailed(all.table(), all.callId(), FollowEvent.FAILED);
-                        return;
-                    }
-                    TablePages pages = previous.with(rows.get(), response.timing());
-                    if (rows.get().more() && !rows.get().rows().isEmpty()) {
-                        readPages(all, pages.lastKey() + '\0', pages);
-                        return;
-                    }
-                    onRows(all.table(), all.callId(), FollowEvent.READ, pages.answer(), pages.rows());
-                    FollowLog.answered(
-                            all.table(),
-                            all.callId(),
-                            0,
-                            pages.version(),
-                            pages.rows().size(),
-                            pages.timing(),
-                            receivedAt);
-                });
+                .whenResult(response -> endCall(all.table(), all.callId(), () -> onPage(all, previous, response)));
+    }
+
+    /** Handles a response. Whatever goes wrong with it, the call that follows the table ends. */
+    private void endCall(FollowedTable table, long callId, Runnable handler) {
+        try {
+            handler.run();
+        } catch (RuntimeException | StackOverflowError e) {
+            LOG.error("an answer of table {} could not be handled", table, e);
+            onFailed(table, callId, FollowEvent.FAILED);
+        }
+    }
+
+    private void onPage(FollowEffect.ReadAll all, TablePages previous, StoreResponse response) {
+        long receivedAt = RelayLoop.now();
+        Either<PlatformFault, Rows> rows = rowsOf(response);
+        if (rows.isLeft()) {
+            ResponseTiming timing = previous.timing().withNextPage(response.timing());
+            FollowLog.failed(all.table(), all.callId(), 0, rows.getLeft().detail(), timing);
+            onFailed(all.table(), all.callId(), FollowEvent.FAILED);
+            return;
+        }
+        TablePages pages = previous.with(rows.get(), response.timing());
+        if (rows.get().more() && !rows.get().rows().isEmpty()) {
+            readPages(all, pages.lastKey() + '\0', pages);
+            return;
+        }
+        TableRows.of(all.table()).pass(observer, all.callId(), FollowEvent.READ, pages.answer(), pages.rows());
+        FollowLog.answered(
+                all.table(), all.callId(), 0, pages.version(), pages.rows().size(), pages.timing(), receivedAt);
     }
 
     private Either<PlatformFault, Rows> rowsOf(StoreResponse response) {
@@ -203,14 +204,15 @@
     private void awaitChanges(FollowEffect.Await await) {
         FollowedTable table = await.table();
         WaitingCall key = new WaitingCall(table, await.callId());
-        StoreMessage.Call message = StoreMessage.follow(tableOf(table), await.afterVersion(), await.waitMillis());
+        StoreMessage.Call message =
+                StoreMessage.follow(TableRows.of(table).storeTable(), await.afterVersion(), await.waitMillis());
         StoreCall call = connections
                 .send(message, await.timeoutMillis(), await.maxBytes())
                 .whenArriving(() -> observer.onAnswerArriving(table, await.callId()));
         waiting.put(key, call);
         call.response().whenResult(response -> {
             waiting.remove(key);
-            onChanges(await, response);
+            endCall(table, await.callId(), () -> onChanges(await, response));
         });
     }
 
@@ -230,9 +232,10 @@
             return;
         }
         List<RawRow> changed = rows.get().rows();
+        boolean empty = changed.isEmpty() && rows.get().skipped().isEmpty();
         long version = rows.get().version();
-        FollowInput answer = FollowInput.ofAnswer(version, 0, changed.isEmpty()).withBytes(response.body().length);
-        onRows(await.table(), await.callId(), FollowEvent.CHANGED, answer, changed);
+        FollowInput answer = FollowInput.ofAnswer(version, 0, empty).withBytes(response.body().length);
+        TableRows.of(await.table()).pass(observer, await.callId(), FollowEvent.CHANGED, answer, changed);
         if (!changed.isEmpty()) {
             FollowLog.answered(
                     await.table(),
@@ -250,24 +253,6 @@
         onFailed(await.table(), await.callId(), event);
     }
 
-    /** Passes on the rows of an answer with the version of the newest one that nodes also gossip. */
-    private void onRows(FollowedTable table, long callId, FollowEvent event, FollowInput answer, List<RawRow> raw) {
-        if (table == FollowedTable.OPERATORS) {
-            long latest = newestVersion(raw.stream().mapToLong(RawRow::version));
-            observer.onOperatorRows(
-                    new FollowResult(table, callId, event, answer.withLatest(latest)), OperatorRows.decode(raw));
-            return;
-        }
-        List<StoredRow> rows = StoreRows.decode(raw, observer::knownRow);
-        long latest = newestVersion(
-                rows.stream().filter(row -> row.ref().table() == RowTable.KEYS).mapToLong(StoredRow::version));
-        observer.onSharedRows(new FollowResult(table, callId, event, answer.withLatest(latest)), rows);
-    }
-
-    private static long newestVersion(LongStream versions) {
-        return versions.max().orElse(0);
-    }
-
     @Override
     public void close() {
         waiting.values().forEach(StoreCall::close);
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreConnectionPool.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreConnectionPool.java
@@ -53,7 +53,7 @@
      */
     StoreCall send(StoreMessage.Call call, long firstByteTimeoutMillis, long maxBytes) {
         long longest = Math.min(maxBytes, MAX_BODY_BYTES);
-        StoreCall pending = new StoreCall(eventloop, firstByteTimeoutMillis, longest, idle::add);
+        StoreCall pending = new StoreCall(eventloop, firstByteTimeoutMillis, longest, idle::push);
         for (HttpLink link = idle.poll(); link != null; link = idle.poll()) {
             if (link.reusable()) {
                 pending.send(link, request(call));
