Body replay test: the order of acceptance and the last byte is forced

Seen: a body of 64 KiB and one byte, refused by the first server, was answered 200 where the test expects 503, at times on a busy machine. Callers saw no fault: the second server had the whole body.

Cause: the test, not the product. Until a request is accepted, its entry node keeps all that it reads of the body, and reads no more once it has 64 KiB. If it has less and reads the last bytes and the end at once, it has the whole body, which is longer than 64 KiB by less than one read. A server that refuses then has not run the request, so that sending it again breaks none of TWICE, REFUSED and UNASKED. The test expected the other order, in which ACCEPTED is read first and the last byte is dropped, but forced neither.

Change: the case REFUSED, 65537 is replaced by eight cases, with bodies of 65536 and 65537 bytes, a refusal and a broken connection, in both orders. BEFORE_REST: the caller sends the rest once the node has 64 KiB and has accepted; the entry node reads nothing in between. AFTER_END: the caller holds back all from byte 65536 on and sends it with the end in one piece; the node accepts once it has the end. The checks are the same: status, number of attempts, and a whole body or none at the second server.

--- a/verbenamast-relay/src/test/java/org/verbenamast/relay/caller/BodyReplayTest.java
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/caller/BodyReplayTest.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -65,6 +66,8 @@
     private static final long LONGEST_TEST_MILLIS = 20_000;
     private static final int PIECE_BYTES = 8 * 1024;
     private static final int MAX_FRAME_BYTES = 1024 * 1024;
+    /** Size of a body's beginning that an entry node reads before a node has accepted the request, in bytes. */
+    private static final int KEPT_BYTES = 64 * 1024;
 
     /** What a node reports of a request that it has accepted and whose body it has received in part. */
     private enum FirstEnd {
@@ -88,6 +91,50 @@
         abstract RelayFrame frame();
     }
 
+    /** When the first node accepts the request, and how much of the body the caller holds back until it may go on. */
+    private enum Acceptance {
+        /** On receipt of the head, while the caller sends. */
+        AT_ONCE {
+            @Override
+            boolean isDue(int received, boolean whole) {
+                return true;
+            }
+
+            @Override
+            int heldFrom() {
+                return Integer.MAX_VALUE;
+            }
+        },
+        /** Before the entry node reads the rest: it reads no more than it keeps until the request is accepted. */
+        BEFORE_REST {
+            @Override
+            boolean isDue(int received, boolean whole) {
+                return received >= KEPT_BYTES;
+            }
+
+            @Override
+            int heldFrom() {
+                return KEPT_BYTES;
+            }
+        },
+        /** After the entry node has read the body's end, which reaches it in one piece with the last bytes. */
+        AFTER_END {
+            @Override
+            boolean isDue(int received, boolean whole) {
+                return whole;
+            }
+
+            @Override
+            int heldFrom() {
+                return KEPT_BYTES - 1;
+            }
+        };
+
+        abstract boolean isDue(int received, boolean whole);
+
+        abstract int heldFrom();
+    }
+
     private final Eventloop eventloop = Eventloop.builder().withCurrentThread().build();
     private final RelayCore core = new RelayCore(
             new RelaySettings(
@@ -107,6 +154,7 @@
     private final List<Thread> threads = new ArrayList<>();
     private final List<Integer> receivedBytes = new CopyOnWriteArrayList<>();
     private final AtomicInteger opened = new AtomicInteger();
+    private final CountDownLatch rest = new CountDownLatch(1);
     private ServerSocket nodes;
     private CallerServer server;
     private Address callers;
@@ -175,20 +223,21 @@
     }
 
     /** Plays the nodes: the first request ends early, the next one is answered once its body is complete. */
-    private void serveNodes(FirstEnd firstEnd, int firstEndBytes) {
+    private void serveNodes(Acceptance acceptance, FirstEnd firstEnd, int firstEndBytes) {
         start(() -> {
             for (Socket link = nodes.accept(); true; link = nodes.accept()) {
                 Socket accepted = link;
-                start(() -> serve(accepted, firstEnd, firstEndBytes));
+                start(() -> serve(accepted, acceptance, firstEnd, firstEndBytes));
             }
         });
     }
 
-    private void serve(Socket link, FirstEnd firstEnd, int firstEndBytes) throws Exception {
+    private void serve(Socket link, Acceptance acceptance, FirstEnd firstEnd, int firstEndBytes) throws Exception {
         try (link) {
             FrameCodec<RelayFrame> codec = new FrameCodec<>(RelayFrame.getDefaultInstance(), MAX_FRAME_BYTES);
             byte[] buffer = new byte[PIECE_BYTES];
             boolean first = false;
+            boolean accepted = false;
             boolean ended = false;
             int received = 0;
             while (true) {
@@ -200,16 +249,18 @@
                 for (RelayFrame frame = codec.next(); frame != null; frame = codec.next()) {
                     if (frame.hasOpen()) {
                         received = 0;
+                        accepted = false;
                         first = opened.incrementAndGet() == 1;
-                        send(
-                                link,
-                                codec,
-                                RelayFrame.newBuilder()
-                                        .setAccepted(RelayAccepted.getDefaultInstance())
-                                        .build());
                     }
                     received += frame.getData().size();
-                    if (first && !ended && received >= firstEndBytes) {
+                    if (!accepted && (!first || acceptance.isDue(received, frame.hasEnd()))) {
+                        accepted = true;
+                        accept(link, codec);
+                    }
+                    if (received >= acceptance.heldFrom()) {
+                        rest.countDown();
+                    }
+                    if (first && accepted && !ended && received >= firstEndBytes) {
                         ended = true;
                         send(link, codec, firstEnd.frame());
                     }
@@ -226,6 +277,15 @@
         link.getOutputStream().write(codec.encode(frame));
     }
 
+    private static void accept(Socket link, FrameCodec<RelayFrame> codec) throws IOException {
+        send(
+                link,
+                codec,
+                RelayFrame.newBuilder()
+                        .setAccepted(RelayAccepted.getDefaultInstance())
+                        .build());
+    }
+
     private static void answer(Socket link, FrameCodec<RelayFrame> codec) throws IOException {
         RelayAnswer.Builder head = RelayAnswer.newBuilder()
                 .setStatus(200)
@@ -239,13 +299,13 @@
     }
 
     /** Sends a request with a body in chunks, and returns the status of the answer. */
-    private int send(int bodyBytes) {
+    private int send(Acceptance acceptance, int bodyBytes) {
         AtomicInteger status = new AtomicInteger();
         start(() -> {
             try (Socket caller = new Socket()) {
                 caller.connect(new InetSocketAddress(callers.host(), callers.port()));
                 caller.setSoTimeout((int) LONGEST_TEST_MILLIS);
-                start(() -> writeRequest(caller, bodyBytes));
+                start(() -> writeRequest(caller, acceptance, bodyBytes));
                 byte[] head = caller.getInputStream().readNBytes("HTTP/1.1 200".length());
                 status.set(Integer.parseInt(new String(head, StandardCharsets.ISO_8859_1).substring(9)));
             } finally {
@@ -257,16 +317,23 @@
         return status.get();
     }
 
-    private static void writeRequest(Socket caller, int bodyBytes) throws IOException {
+    private void writeRequest(Socket caller, Acceptance acceptance, int bodyBytes) throws Exception {
         write(
                 caller,
                 "POST /items HTTP/1.1\r\nHost: shop\r\n" + RequestFields.ATTEMPT_ID + ": 1\r\n"
                         + "Transfer-Encoding: chunked\r\n\r\n");
-        for (int sent = 0; sent < bodyBytes; sent += PIECE_BYTES) {
-            int length = Math.min(PIECE_BYTES, bodyBytes - sent);
-            write(caller, Integer.toHexString(length) + "\r\n" + "x".repeat(length) + "\r\n");
+        int atOnce = Math.min(acceptance.heldFrom(), bodyBytes);
+        for (int sent = 0; sent < atOnce; sent += PIECE_BYTES) {
+            write(caller, chunk(Math.min(PIECE_BYTES, atOnce - sent)));
+        }
+        if (acceptance.heldFrom() <= bodyBytes) {
+            assertThat(rest.await(LONGEST_TEST_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
         }
-        write(caller, "0\r\n\r\n");
+        write(caller, (bodyBytes > atOnce ? chunk(bodyBytes - atOnce) : "") + "0\r\n\r\n");
+    }
+
+    private static String chunk(int length) {
+        return Integer.toHexString(length) + "\r\n" + "x".repeat(length) + "\r\n";
     }
 
     private static void write(Socket caller, String text) throws IOException {
@@ -276,17 +343,42 @@
     /** Guards against a long body that reached the second server cut off, yet properly ended. */
     @ParameterizedTest
     @CsvSource({
-        "REFUSED, 0, 50000, 200", "REFUSED, 30000, 50000, 200", "REFUSED, 65536, 65536, 200",
-        "REFUSED, 65537, 65537, 503", "REFUSED, 150000, 200000, 503", "REFUSED, 200000, 200000, 503",
-        "BROKEN, 30000, 50000, 200", "BROKEN, 150000, 200000, 502"
+        "REFUSED, 0, 50000, 200",
+        "REFUSED, 30000, 50000, 200",
+        "REFUSED, 65536, 65536, 200",
+        "REFUSED, 150000, 200000, 503",
+        "REFUSED, 200000, 200000, 503",
+        "BROKEN, 30000, 50000, 200",
+        "BROKEN, 150000, 200000, 502"
     })
     void should_send_a_whole_body_or_none_to_the_second_server(
             FirstEnd firstEnd, int firstEndBytes, int bodyBytes, int status) {
+        assertWholeBodyOrNone(Acceptance.AT_ONCE, firstEnd, firstEndBytes, bodyBytes, status);
+    }
+
+    /**
+     * Guards the bound of what is kept. A body beyond it is still whole if the request was accepted only after all of
+     * the body was read, and may be sent again; if it was accepted before, the body is dropped.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "BEFORE_REST, REFUSED, 65536, 200", "BEFORE_REST, REFUSED, 65537, 503",
+        "BEFORE_REST, BROKEN, 65536, 200", "BEFORE_REST, BROKEN, 65537, 502",
+        "AFTER_END, REFUSED, 65536, 200", "AFTER_END, REFUSED, 65537, 200",
+        "AFTER_END, BROKEN, 65536, 200", "AFTER_END, BROKEN, 65537, 200"
+    })
+    void should_send_a_whole_body_or_none_whenever_the_request_is_accepted(
+            Acceptance acceptance, FirstEnd firstEnd, int bodyBytes, int status) {
+        assertWholeBodyOrNone(acceptance, firstEnd, bodyBytes, bodyBytes, status);
+    }
+
+    private void assertWholeBodyOrNone(
+            Acceptance acceptance, FirstEnd firstEnd, int firstEndBytes, int bodyBytes, int status) {
         // given
-        serveNodes(firstEnd, firstEndBytes);
+        serveNodes(acceptance, firstEnd, firstEndBytes);
 
         // when
-        int answered = send(bodyBytes);
+        int answered = send(acceptance, bodyBytes);
 
         // then
         assertThat(answered).isEqualTo(status);
