Entry node: a request counts as accepted only while its attempt is open

Cause: the exchange kept a flag of its own that the request was accepted, and cleared it after a refusal, after a broken attempt and when the next attempt was opened, but not after an answer with a failure. While the request waited, the node read on and dropped what went beyond 64 KiB. Chart entry-request knows of a dropped body only while an attempt is open, so that it sent what was still kept to the next server.

Change: the attempt knows whether it was accepted, and it is so no more once it has ended in any way. Between attempts no more of the body is read than is kept, so that nothing is dropped while the chart can't hear of it. The three resets are gone.

--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
@@ -46,7 +46,6 @@
     private final FingerprintDigest content;
     private boolean opened;
     private boolean replayable = true;
-    private boolean accepted;
     private boolean bodyEnded;
     private boolean answerEnded;
     private boolean answerReported;
@@ -90,7 +89,7 @@
     /** Buffers a piece of the request's body if it may be replayed, and sends it to the current attempt. */
     void body(byte[] bytes) {
         content.update(bytes);
-        boolean fits = !accepted || replayBuffer.size() + bytes.length <= MAX_REPLAY_BYTES;
+        boolean fits = !accepted() || replayBuffer.size() + bytes.length <= MAX_REPLAY_BYTES;
         if (replayable && fits) {
             replayBuffer.writeBytes(bytes);
         } else if (replayable) {
@@ -103,6 +102,11 @@
         open();
     }
 
+    /** Returns whether a server takes the body; until then, and between attempts, no more is read than can be kept. */
+    private boolean accepted() {
+        return attempt != null && attempt.accepted();
+    }
+
     void endBody() {
         bodyEnded = true;
         open();
@@ -113,7 +117,7 @@
 
     /** Returns a promise that completes once more of the request's body can be accepted. */
     Promise<Void> bodyRoom() {
-        if (!accepted && replayBuffer.size() >= MAX_REPLAY_BYTES) {
+        if (!accepted() && replayBuffer.size() >= MAX_REPLAY_BYTES) {
             return connection.whenAccepted();
         }
         return attempt == null ? Promise.complete() : attempt.bodyRoom();
@@ -173,7 +177,6 @@
         answer = null;
         answerEnded = false;
         answerReported = false;
-        accepted = false;
         long now = RelayLoop.now();
         attemptOpenedAt = now;
         StoreVersions versions = core.follow().versions(now);
@@ -211,7 +214,6 @@
 
     @Override
     public void onAccepted() {
-        accepted = true;
         connection.onAccepted();
     }
 
@@ -222,8 +224,6 @@
 
     @Override
     public void onRefused(Refusal reason, long retryAfterMillis, AdmissionLoad reported) {
-        // Until the next attempt is accepted, more of the body is not read than can be kept.
-        accepted = false;
         loop.run((now, effects) ->
                 core.entry().onRefused(request.id(), reason, retryAfterMillis, reported, now, effects));
     }
@@ -270,7 +270,6 @@
 
     @Override
     public void onBroken(boolean linkLost) {
-        accepted = false;
         loop.run((now, effects) -> core.entry().onBroken(request.id(), linkLost, now, effects));
     }
 
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/RelayAttempt.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/RelayAttempt.java
@@ -60,6 +60,7 @@
     private final boolean reportsReceipt;
     private final Observer observer;
     private FrameLink link;
+    private boolean accepted;
     private boolean bodyEnded;
     private boolean ended;
 
@@ -97,6 +98,11 @@
         return link != null;
     }
 
+    /** Returns whether the node has passed the request to its server and the attempt is still open. */
+    boolean accepted() {
+        return accepted && !ended;
+    }
+
     void body(byte[] bytes) {
         if (!ended && bytes.length > 0) {
             link.send(
@@ -121,7 +127,10 @@
     public void onFrame(RelayFrame frame) {
         reportStoreVersions(frame);
         switch (frame.getBodyCase()) {
-            case ACCEPTED -> observer.onAccepted();
+            case ACCEPTED -> {
+                accepted = true;
+                observer.onAccepted();
+            }
             case REFUSED -> {
                 RelayRefused refused = frame.getRefused();
                 finish();
--- a/verbenamast-relay/src/test/java/org/verbenamast/relay/caller/BodyReplayTest.java
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/caller/BodyReplayTest.java
@@ -1,52 +1,24 @@
 package org.verbenamast.relay.caller;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
-import io.activej.eventloop.Eventloop;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.verbenamast.core.admission.AdmissionLoad;
 import org.verbenamast.core.admission.Refusal;
-import org.verbenamast.core.chart.TransitionListener;
-import org.verbenamast.core.effect.Effect;
-import org.verbenamast.core.entry.EntryEffect;
-import org.verbenamast.core.keys.KeyLeaseTimings;
-import org.verbenamast.core.manifest.Manifest;
-import org.verbenamast.core.manifest.RequestKind;
-import org.verbenamast.core.manifest.RequestLimits;
-import org.verbenamast.core.manifest.Route;
-import org.verbenamast.core.manifest.ServiceRules;
-import org.verbenamast.core.manifest.Split;
-import org.verbenamast.core.model.Address;
-import org.verbenamast.core.model.Zone;
-import org.verbenamast.core.relay.RelayCore;
-import org.verbenamast.core.relay.RelaySettings;
-import org.verbenamast.core.roster.Member;
-import org.verbenamast.core.roster.ServerIncarnation;
-import org.verbenamast.core.roster.ServerState;
-import org.verbenamast.core.rows.RowRef;
-import org.verbenamast.core.rows.RowTable;
-import org.verbenamast.core.rows.StoredRow;
+import org.verbenamast.core.keys.KeyMap;
+import org.verbenamast.core.keys.KeyRange;
 import org.verbenamast.core.watch.StoreVersions;
 import org.verbenamast.platform.RequestFields;
-import org.verbenamast.relay.RelayLoop;
-import org.verbenamast.relay.peer.PeerPool;
-import org.verbenamast.relay.telemetry.RequestCounts;
 import org.verbenamast.wire.FrameCodec;
 import org.verbenamast.wire.generated.RelayAccepted;
 import org.verbenamast.wire.generated.RelayAnswer;
@@ -59,13 +31,8 @@
 
 /** Requests with bodies that are sent to a second server after the first one did not serve them. */
 @Timeout(value = 60, unit = TimeUnit.SECONDS)
-class BodyReplayTest {
+class BodyReplayTest extends CallerFixture {
 
-    private static final Zone ZONE = new Zone("a");
-    private static final AdmissionLoad IDLE = new AdmissionLoad(0, 0, 4, 50, false, false);
-    private static final long LONGEST_TEST_MILLIS = 20_000;
-    private static final int PIECE_BYTES = 8 * 1024;
-    private static final int MAX_FRAME_BYTES = 1024 * 1024;
     /** Size of a body's beginning that an entry node reads before a node has accepted the request, in bytes. */
     private static final int KEPT_BYTES = 64 * 1024;
 
@@ -74,21 +41,31 @@
         /** The server has not run it. */
         REFUSED {
             @Override
-            RelayFrame frame() {
-                return RelayFrames.refused(Refusal.SHED, 0, IDLE, StoreVersions.NONE);
+            void send(Socket link, FrameCodec<RelayFrame> codec) throws IOException {
+                CallerFixture.send(link, codec, RelayFrames.refused(Refusal.SHED, 0, IDLE, StoreVersions.NONE));
             }
         },
         /** The server's connection broke. */
         BROKEN {
             @Override
-            RelayFrame frame() {
-                return RelayFrame.newBuilder()
-                        .setFailed(RelayFailed.getDefaultInstance())
-                        .build();
+            void send(Socket link, FrameCodec<RelayFrame> codec) throws IOException {
+                CallerFixture.send(
+                        link,
+                        codec,
+                        RelayFrame.newBuilder()
+                                .setFailed(RelayFailed.getDefaultInstance())
+                                .build());
+            }
+        },
+        /** The server's answer reports that it failed. */
+        FAILED {
+            @Override
+            void send(Socket link, FrameCodec<RelayFrame> codec) throws IOException {
+                answer(link, codec, 500);
             }
         };
 
-        abstract RelayFrame frame();
+        abstract void send(Socket link, FrameCodec<RelayFrame> codec) throws IOException;
     }
 
     /** When the first node accepts the request, and how much of the body the caller holds back until it may go on. */
@@ -128,100 +105,38 @@
             int heldFrom() {
                 return KEPT_BYTES - 1;
             }
+        },
+        /** On receipt of the head; the caller goes on when the first attempt has ended and its link was closed. */
+        BEFORE_FAILURE {
+            @Override
+            boolean isDue(int received, boolean whole) {
+                return true;
+            }
+
+            @Override
+            int heldFrom() {
+                return KEPT_BYTES - 1;
+            }
+
+            @Override
+            int releasedAt() {
+                return Integer.MAX_VALUE;
+            }
         };
 
         abstract boolean isDue(int received, boolean whole);
 
         abstract int heldFrom();
+
+        int releasedAt() {
+            return heldFrom();
+        }
     }
 
-    private final Eventloop eventloop = Eventloop.builder().withCurrentThread().build();
-    private final RelayCore core = new RelayCore(
-            new RelaySettings(
-                    "node",
-                    7,
-                    ZONE,
-                    "frontend",
-                    new Address("127.0.0.1", 2),
-                    new Address("127.0.0.1", 1),
-                    KeyLeaseTimings.DEFAULT,
-                    2_000,
-                    0,
-                    () -> 0.5),
-            TransitionListener.NONE);
-    private final RelayLoop loop = new RelayLoop(eventloop, core, new RequestCounts(), this::run);
-    private final PeerPool peers = new PeerPool(eventloop);
-    private final List<Thread> threads = new ArrayList<>();
     private final List<Integer> receivedBytes = new CopyOnWriteArrayList<>();
     private final AtomicInteger opened = new AtomicInteger();
+    private boolean keyed;
     private final CountDownLatch rest = new CountDownLatch(1);
-    private ServerSocket nodes;
-    private CallerServer server;
-    private Address callers;
-
-    @BeforeEach
-    void start() throws IOException {
-        nodes = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
-        try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            callers = new Address("127.0.0.1", probe.getLocalPort());
-        }
-        server = new CallerServer(eventloop, callers, "frontend", core, loop, peers, new RequestCounts());
-        server.listen();
-        eventloop.keepAlive(true);
-        Route route =
-                new Route("r", "shop", "/", RequestKind.SAFE, 60_000, 30_000, 1, 3, List.of(new Split("stock", 1)));
-        ServiceRules rules = new ServiceRules("stock", 10, 0, false);
-        RequestLimits limits = new RequestLimits(16_384, 64 * 1024 * 1024, 60_000, 60_000);
-        core.manifest(new Manifest(1, List.of(route), List.of(rules), limits), 0, effect -> {});
-        List<StoredRow> members = new ArrayList<>();
-        for (String node : List.of("first", "second")) {
-            Member member = new Member(
-                    node,
-                    new Address("127.0.0.1", nodes.getLocalPort()),
-                    ZONE,
-                    "stock",
-                    new ServerIncarnation("stock-" + node, 1),
-                    4,
-                    ServerState.READY);
-            members.add(new StoredRow(new RowRef(RowTable.MEMBERS, node), 1, Optional.of(member)));
-        }
-        core.onSnapshot(members, 1, RelayLoop.now(), effect -> {});
-    }
-
-    @AfterEach
-    void stop() throws Exception {
-        server.close();
-        peers.close();
-        nodes.close();
-        for (Thread thread : threads) {
-            thread.join();
-        }
-    }
-
-    private void run(Effect effect) {
-        if (effect instanceof EntryEffect entry) {
-            server.run(entry);
-        }
-    }
-
-    private interface Task {
-        void run() throws Exception;
-    }
-
-    private void start(Task task) {
-        Thread thread = new Thread(() -> {
-            try {
-                task.run();
-            } catch (IOException e) {
-                // The other side has closed the connection.
-            } catch (Exception e) {
-                throw new AssertionError("the test's node or caller failed", e);
-            }
-        });
-        threads.add(thread);
-        thread.start();
-    }
-
     /** Plays the nodes: the first request ends early, the next one is answered once its body is complete. */
     private void serveNodes(Acceptance acceptance, FirstEnd firstEnd, int firstEndBytes) {
         start(() -> {
@@ -243,6 +158,7 @@
             while (true) {
                 int length = link.getInputStream().read(buffer);
                 if (length < 0) {
+                    rest.countDown();
                     return;
                 }
                 codec.received(buffer, 0, length);
@@ -257,26 +173,25 @@
                         accepted = true;
                         accept(link, codec);
                     }
-                    if (received >= acceptance.heldFrom()) {
+                    if (received >= acceptance.releasedAt()) {
                         rest.countDown();
                     }
                     if (first && accepted && !ended && received >= firstEndBytes) {
                         ended = true;
-                        send(link, codec, firstEnd.frame());
+                        if (keyed) {
+                            onLoop(() -> putKeys(KeyMap.vacant("stock"), 2));
+                        }
+                        firstEnd.send(link, codec);
                     }
                     if (frame.hasEnd() && !first) {
                         receivedBytes.add(received);
-                        answer(link, codec);
+                        answer(link, codec, 200);
                     }
                 }
             }
         }
     }
 
-    private static void send(Socket link, FrameCodec<RelayFrame> codec, RelayFrame frame) throws IOException {
-        link.getOutputStream().write(codec.encode(frame));
-    }
-
     private static void accept(Socket link, FrameCodec<RelayFrame> codec) throws IOException {
         send(
                 link,
@@ -286,9 +201,9 @@
                         .build());
     }
 
-    private static void answer(Socket link, FrameCodec<RelayFrame> codec) throws IOException {
+    private static void answer(Socket link, FrameCodec<RelayFrame> codec, int status) throws IOException {
         RelayAnswer.Builder head = RelayAnswer.newBuilder()
-                .setStatus(200)
+                .setStatus(status)
                 .setBodyLength(0)
                 .setLoad(RelayFrames.load(IDLE, StoreVersions.NONE));
         send(link, codec, RelayFrame.newBuilder().setAnswer(head).build());
@@ -321,7 +236,7 @@
         write(
                 caller,
                 "POST /items HTTP/1.1\r\nHost: shop\r\n" + RequestFields.ATTEMPT_ID + ": 1\r\n"
-                        + "Transfer-Encoding: chunked\r\n\r\n");
+                        + (keyed ? RequestFields.KEY + ": 7\r\n" : "") + "Transfer-Encoding: chunked\r\n\r\n");
         int atOnce = Math.min(acceptance.heldFrom(), bodyBytes);
         for (int sent = 0; sent < atOnce; sent += PIECE_BYTES) {
             write(caller, chunk(Math.min(PIECE_BYTES, atOnce - sent)));
@@ -330,14 +245,27 @@
             assertThat(rest.await(LONGEST_TEST_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
         }
         write(caller, (bodyBytes > atOnce ? chunk(bodyBytes - atOnce) : "") + "0\r\n\r\n");
+        if (keyed) {
+            // A timer is due only after the loop has read from the sockets once more.
+            onLoop(() -> eventloop.delay(1L, () -> putKeys(keysOf("second"), 3)));
+        }
     }
 
-    private static String chunk(int length) {
-        return Integer.toHexString(length) + "\r\n" + "x".repeat(length) + "\r\n";
+    private static KeyMap keysOf(String node) {
+        return KeyMap.vacant("stock").move(KeyRange.ALL, incarnation(node));
+    }
+
+    private void onLoop(Runnable task) throws InterruptedException {
+        CountDownLatch done = new CountDownLatch(1);
+        eventloop.execute(() -> {
+            task.run();
+            done.countDown();
+        });
+        assertThat(done.await(LONGEST_TEST_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
     }
 
-    private static void write(Socket caller, String text) throws IOException {
-        caller.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    private static String chunk(int length) {
+        return Integer.toHexString(length) + "\r\n" + "x".repeat(length) + "\r\n";
     }
 
     /** Guards against a long body that reached the second server cut off, yet properly ended. */
@@ -372,6 +300,19 @@
         assertWholeBodyOrNone(acceptance, firstEnd, bodyBytes, bodyBytes, status);
     }
 
+    /**
+     * Guards against a body that was cut off while its request waited for a new owner of the key. The caller sends the
+     * rest of the body once the entry node has closed the link, which it does before it handles anything else.
+     */
+    @Test
+    void should_send_the_whole_body_when_a_request_waited_for_an_owner_after_a_failure() {
+        keyed = true;
+        putManifest(2, true);
+        putKeys(keysOf("first"), 1);
+        assertWholeBodyOrNone(
+                Acceptance.BEFORE_FAILURE, FirstEnd.FAILED, KEPT_BYTES - 1, KEPT_BYTES + PIECE_BYTES, 200);
+    }
+
     private void assertWholeBodyOrNone(
             Acceptance acceptance, FirstEnd firstEnd, int firstEndBytes, int bodyBytes, int status) {
         // given
