--- a/review/standins-2/review/Deployment.java
+++ b/review/standins-2/review/Deployment.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 
@@ -13,6 +14,7 @@
     static final int KEYS = 65_536;
     static final String KEYED = "stockroom";
     static final String PLAIN = "orderdesk";
+    static final String OTHER = "mapstore";
 
     private static final String MANIFEST =
             """
@@ -21,12 +23,16 @@
              "priority":2,"service":"stockroom","maxAttempts":2},
             {"name":"r-order","host":"HOST","prefix":"/order/","kind":"unsafe","timeoutMs":1500,"targetLatencyMs":600,
              "priority":1,"service":"orderdesk","maxAttempts":2},
+            {"name":"r-look","host":"HOST","prefix":"/look/","kind":"safe","timeoutMs":1200,"targetLatencyMs":500,
+             "priority":2,"service":"mapstore","maxAttempts":2},
             {"name":"r-sheet","host":"HOST","prefix":"/sheet/","kind":"download","timeoutMs":5000,"targetLatencyMs":1000,
              "priority":2,"service":"orderdesk","maxAttempts":2}],
             "services":[
             {"name":"stockroom","healthPath":"/health","maxConns":130,"protocol":"h1","tls":false,"coldStartS":3.0,
              "coldPerS":7.2,"sharded":true,"warmS":5.0,"grants":"heartbeat"},
             {"name":"orderdesk","healthPath":"/health","maxConns":130,"protocol":"h1","tls":false,"coldStartS":3.0,
+             "coldPerS":7.2},
+            {"name":"mapstore","healthPath":"/health","maxConns":130,"protocol":"h1","tls":false,"coldStartS":3.0,
              "coldPerS":7.2}],
             "limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}
             """;
@@ -39,6 +45,11 @@
     private final Store store;
 
     Deployment(Recorder record, String service, int size) throws IOException {
+        this(record, Collections.nCopies(size, service));
+    }
+
+    /** Starts a node for each of the services named. */
+    Deployment(Recorder record, List<String> services) throws IOException {
         this.record = record;
         this.requester = new Requester(record);
         this.folder = Files.createTempDirectory("verbenamast-review");
@@ -46,8 +57,8 @@
         int port = Ports.free(ip, 1).get(0);
         store = new Store(ip, port);
         store.put("op", "config", MANIFEST.replace("HOST", Requester.HOST).replace("\n", ""));
-        for (int i = 0; i < size; i++) {
-            Node node = new Node(i + 1, service, new Node.Store0(ip, port), folder, record);
+        for (int i = 0; i < services.size(); i++) {
+            Node node = new Node(i + 1, services.get(i), new Node.Store0(ip, port), folder, record);
             nodes.add(node);
             node.start();
             node.awaitListening();
--- a/review/standins-2/review/Instance.java
+++ b/review/standins-2/review/Instance.java
@@ -23,6 +23,7 @@
 final class Instance implements AutoCloseable {
 
     private static final int SLOTS = 6;
+    private static final int BACKLOG = 16;
     private static final int ACK_MS = 1_000;
     private static final int MAX_ACK_BYTES = 4 * 1024;
 
@@ -66,6 +67,7 @@
     private volatile List<Freed> freed = List.of();
     private volatile boolean beating = true;
     private volatile boolean up = true;
+    private volatile boolean dark;
     volatile long lastBeatAt;
     volatile long coldSince;
     private volatile long coldUntil;
@@ -81,14 +83,14 @@
         this.record = record;
         this.listener = new ServerSocket();
         listener.setReuseAddress(true);
-        listener.bind(new InetSocketAddress(InetAddress.getByName(node.ip), node.app), 128);
+        listener.bind(new InetSocketAddress(InetAddress.getByName(node.ip), node.app), BACKLOG);
         record.write("instance %s of %s is up beside %s", id, node.service(), node.name);
         Threads.start(this::accept);
         Threads.start(this::beat);
     }
 
     private void accept() throws IOException {
-        while (up) {
+        while (up && !dark) {
             Socket socket = listener.accept();
             sockets.add(socket);
             Threads.start(() -> serve(socket));
@@ -100,15 +102,18 @@
             socket.setTcpNoDelay(true);
             InputStream in = new BufferedInputStream(socket.getInputStream());
             for (Wire.Head head = Wire.head(in); head != null && up; head = Wire.head(in)) {
-                byte[] body = Wire.body(in, head);
-                socket.getOutputStream().write(answer(head, body));
+                Wire.skipBody(in, head);
+                while (dark) {
+                    Threads.sleep(100);
+                }
+                socket.getOutputStream().write(answer(head));
             }
         } finally {
             sockets.remove(socket);
         }
     }
 
-    private byte[] answer(Wire.Head head, byte[] body) {
+    private byte[] answer(Wire.Head head) {
         if (head.line().startsWith("GET /health ")) {
             return ("HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Verbenamast-Instance-Id: " + id
                             + "\r\nX-Verbenamast-Cold-Ms: " + coldLeft() + "\r\n\r\n")
@@ -321,9 +326,23 @@
         return Recorder.now();
     }
 
-    /** Stops the check-ins. */
-    void silence() {
+    /**
+     * Crashes silently, as with its whole machine: it answers nothing any more, sends no check-ins, and its address takes
+     * no connection and refuses none.
+     */
+    void goDark() {
+        record.write("instance %s falls silent", id);
+        dark = true;
         beating = false;
+        try {
+            while (true) {
+                Socket filler = new Socket();
+                sockets.add(filler);
+                filler.connect(new InetSocketAddress(node.ip, node.app), 100);
+            }
+        } catch (IOException e) {
+            record.write("the address of instance %s takes no connection any more", id);
+        }
     }
 
     /** Ends the instance: it closes all its connections and holds nothing. */
--- a/review/standins-2/review/Main.java
+++ b/review/standins-2/review/Main.java
@@ -17,8 +17,6 @@
 
     private static Case find(String name) {
         return switch (name) {
-            case "former-boot" -> new FormerBoot()::holds;
-            case "left-in-use" -> new LeftInUse()::holds;
             case "cold-again" -> new ColdAgain()::holds;
             case "foreign-check-in" -> new ForeignCheckIn()::holds;
             case "left-restart" -> new LeftRestart()::holds;
--- a/review/standins-2/review/Node.java
+++ b/review/standins-2/review/Node.java
@@ -126,6 +126,11 @@
         record.write("node %s has ended with status %d", name, process.exitValue());
     }
 
+    /** Returns whether the process runs. */
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
     void kill() throws InterruptedException {
         record.write("node %s gets SIGKILL", name);
         process.destroyForcibly();
--- a/review/standins-2/review/Wire.java
+++ b/review/standins-2/review/Wire.java
@@ -82,6 +82,12 @@
         return length == null ? new byte[0] : exactly(in, Integer.parseInt(length));
     }
 
+    /** Reads a body that has a length, without keeping it. */
+    static void skipBody(InputStream in, Head head) throws IOException {
+        String length = head.field("content-length");
+        in.skipNBytes(length == null ? 0 : Long.parseLong(length));
+    }
+
     private static byte[] exactly(InputStream in, int length) throws IOException {
         byte[] bytes = in.readNBytes(length);
         if (bytes.length < length) {
