--- a/review/standins-2/review/Main.java
+++ b/review/standins-2/review/Main.java
@@ -19,6 +19,7 @@
         return switch (name) {
             case "cold-again" -> new ColdAgain()::holds;
             case "foreign-check-in" -> new ForeignCheckIn()::holds;
+            case "uploads" -> new Uploads()::holds;
             case "left-restart" -> new LeftRestart()::holds;
             default -> throw new IllegalArgumentException("no case " + name);
         };
