Interfaces: the manifest's tenants, uploads and public routes; limits in the settings

Cause: one unknown word in one route made a whole manifest unreadable, so that no node became ready; nothing could name tenants, uploads or the limits of a host.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/manifest/Manifest.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/manifest/Manifest.java
@@ -15,8 +15,10 @@
  * @param routes the routes
  * @param services the rules of the services
  * @param limits the limits of requests
+ * @param tenants the tenants; where there are any, a caller needs the key of one unless the route is public
  */
-public record Manifest(long version, List<Route> routes, List<ServiceRules> services, RequestLimits limits) {
+public record Manifest(
+        long version, List<Route> routes, List<ServiceRules> services, RequestLimits limits, List<Tenant> tenants) {
 
     /** Checks the version and the limits and copies the lists. */
     public Manifest {
@@ -24,6 +26,7 @@
         routes = List.copyOf(routes);
         services = List.copyOf(services);
         Objects.requireNonNull(limits, "limits");
+        tenants = List.copyOf(tenants);
     }
 
     /**
--- a/verbenamast-core/src/main/java/org/verbenamast/core/manifest/RequestKind.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/manifest/RequestKind.java
@@ -1,20 +1,24 @@
 package org.verbenamast.core.manifest;
 
-/** The kind of a route's requests: whether they may be repeated, and whether their answers are large. */
+/** The kind of a route's requests: whether they may be repeated, and whether their answers or bodies are large. */
 public enum RequestKind {
     /** Requests that may run any number of times, with small answers. */
-    SAFE(true, false),
+    SAFE(true, false, false),
     /** Requests that run at most once. */
-    UNSAFE(false, false),
+    UNSAFE(false, false, false),
     /** Requests that may run any number of times and whose answers are large. */
-    DOWNLOAD(true, true);
+    DOWNLOAD(true, true, false),
+    /** Requests that run at most once and whose bodies are large. */
+    UPLOAD(false, false, true);
 
     private final boolean repeatable;
     private final boolean largeAnswers;
+    private final boolean largeBodies;
 
-    RequestKind(boolean repeatable, boolean largeAnswers) {
+    RequestKind(boolean repeatable, boolean largeAnswers, boolean largeBodies) {
         this.repeatable = repeatable;
         this.largeAnswers = largeAnswers;
+        this.largeBodies = largeBodies;
     }
 
     /**
@@ -34,4 +38,13 @@
     public boolean hasLargeAnswers() {
         return largeAnswers;
     }
+
+    /**
+     * Returns whether the bodies of requests are large.
+     *
+     * @return whether bodies are large
+     */
+    public boolean hasLargeBodies() {
+        return largeBodies;
+    }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/manifest/Route.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/manifest/Route.java
@@ -16,6 +16,7 @@
  * @param objectiveMillis the latency objective, in milliseconds
  * @param priority the priority, where 0 is the most urgent
  * @param maxAttempts the maximum number of backend servers that a request may be sent to
+ * @param isPublic whether callers need no key, even if the manifest has tenants
  * @param splits the services that receive the requests, with their weights; at least one
  */
 public record Route(
@@ -27,6 +28,7 @@
         long objectiveMillis,
         int priority,
         int maxAttempts,
+        boolean isPublic,
         List<Split> splits) {
 
     /** Checks the fields and copies the list. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelaySettings.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelaySettings.java
@@ -20,6 +20,7 @@
  * @param peer where it accepts connections from other nodes
  * @param leaseTimings the durations of key leases, which limit how long keys may be granted without the store
  * @param drainMillis how long a leaving server may still receive requests, in milliseconds
+ * @param limits the limits that decisions keep to
  * @param startedAt the monotonic time when the node started, in nanoseconds
  * @param random returns uniformly distributed numbers from 0 (inclusive) to 1 (exclusive)
  */
@@ -32,6 +33,7 @@
         Address peer,
         KeyLeaseTimings leaseTimings,
         long drainMillis,
+        RelayLimits limits,
         long startedAt,
         DoubleSupplier random) {
 
@@ -44,6 +46,7 @@
         Objects.requireNonNull(peer, "peer");
         Objects.requireNonNull(leaseTimings, "terms");
         Checks.positive("drainMillis", drainMillis);
+        Objects.requireNonNull(limits, "limits");
         Objects.requireNonNull(random, "random");
     }
 
--- a/verbenamast-core/src/test/java/org/verbenamast/core/entry/SimulatedFleet.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/entry/SimulatedFleet.java
@@ -102,6 +102,7 @@
                     objectiveMillis,
                     priority,
                     2,
+                    false,
                     List.of(new Split(SERVICE, 1)));
             this.workMillis = workMillis;
             this.spread = spread;
--- a/verbenamast-it/src/main/java/org/verbenamast/it/bench/DecisionBenchmark.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/bench/DecisionBenchmark.java
@@ -60,7 +60,7 @@
     private static final Fingerprint CONTENT = new Fingerprint(1);
     private static final ServerIncarnation INCARNATION = new ServerIncarnation("i-1", 1);
     private static final Route ROUTE =
-            new Route("r", "h", "/", RequestKind.SAFE, 60_000, 300, 1, 2, List.of(new Split(SERVICE, 1)));
+            new Route("r", "h", "/", RequestKind.SAFE, 60_000, 300, 1, 2, false, List.of(new Split(SERVICE, 1)));
     private static final Effects IGNORED = effect -> {};
 
     private static final AdmissionRules RULES = new AdmissionRules() {
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
@@ -119,6 +119,7 @@
                 settings.peers(),
                 KeyLeaseTimings.DEFAULT,
                 settings.drainMillis(),
+                settings.limits(),
                 RelayLoop.now(),
                 () -> ThreadLocalRandom.current().nextDouble());
     }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/settings/RelayNodeSettings.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/settings/RelayNodeSettings.java
@@ -5,6 +5,7 @@
 import org.verbenamast.core.check.Checks;
 import org.verbenamast.core.model.Address;
 import org.verbenamast.core.model.Zone;
+import org.verbenamast.core.relay.RelayLimits;
 import org.verbenamast.wire.settings.SettingsNode;
 
 /**
@@ -23,6 +24,7 @@
  * @param drainMillis how long a leaving server may still get requests, in milliseconds
  * @param graceSeconds the time between SIGTERM and the latest exit of the process, in seconds
  * @param longestHoldMillis the longest duration of a key grant to the backend server, in milliseconds
+ * @param limits the limits that the node's decisions keep to
  */
 public record RelayNodeSettings(
         String node,
@@ -37,7 +39,8 @@
         Address store,
         long drainMillis,
         long graceSeconds,
-        long longestHoldMillis) {
+        long longestHoldMillis,
+        RelayLimits limits) {
 
     private static final String ADDRESS_FORM = "an IP address and port, such as \"127.0.0.1:7000\"";
     private static final Address PLACEHOLDER_ADDRESS = new Address("127.0.0.1", 1);
@@ -61,6 +64,7 @@
         Checks.positive("drainMillis", drainMillis);
         Checks.positive("graceSeconds", graceSeconds);
         Checks.positive("longestHoldMillis", longestHoldMillis);
+        Objects.requireNonNull(limits, "limits");
     }
 
     /**
@@ -84,7 +88,8 @@
                 store,
                 other.drainMillis,
                 other.graceSeconds,
-                other.longestHoldMillis);
+                other.longestHoldMillis,
+                limits);
     }
 
     /**
@@ -107,7 +112,8 @@
                 address(file, "store"),
                 file.number("drainMillis", "milliseconds", 1, MAX_DURATION, DEFAULT_DRAIN_MILLIS),
                 file.number("graceSeconds", "seconds", 1, MAX_DURATION, DEFAULT_GRACE_SECONDS),
-                file.number("longestHoldMillis", "milliseconds", 1, MAX_DURATION, DEFAULT_GRANT_MILLIS));
+                file.number("longestHoldMillis", "milliseconds", 1, MAX_DURATION, DEFAULT_GRANT_MILLIS),
+                RelayLimitSettings.read(file));
     }
 
     private static Address address(SettingsNode file, String field) {
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/OperatorRows.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/OperatorRows.java
@@ -33,7 +33,12 @@
     private static Optional<OperatorRow> decodeManifest(RawRow row, byte[] value) {
         return ManifestMessage.decode(value)
                 .peekLeft(fault -> LOG.warn("ignoring the manifest of row version {}: {}", row.version(), fault))
-                .<OperatorRow>map(manifest -> new OperatorRow.ManifestRow(row.version(), manifest))
+                .peek(decoded -> decoded.faults()
+                        .forEach(fault -> LOG.warn(
+                                "manifest {} has an entry that can't be read: {}",
+                                decoded.manifest().version(),
+                                fault)))
+                .<OperatorRow>map(decoded -> new OperatorRow.ManifestRow(row.version(), decoded.manifest()))
                 .toJavaOptional();
     }
 
--- a/verbenamast-relay/src/test/java/org/verbenamast/relay/telemetry/MetricsPageTest.java
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/telemetry/MetricsPageTest.java
@@ -10,6 +10,7 @@
 import org.verbenamast.core.model.Address;
 import org.verbenamast.core.model.Zone;
 import org.verbenamast.core.relay.RelayCore;
+import org.verbenamast.core.relay.RelayLimits;
 import org.verbenamast.core.relay.RelaySettings;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -28,6 +29,7 @@
                     new Address("127.0.0.1", 1),
                     KeyLeaseTimings.DEFAULT,
                     2_000,
+                    RelayLimits.DEFAULT,
                     0,
                     () -> 0.5),
             TransitionListener.NONE);
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/settings/SettingsNode.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/settings/SettingsNode.java
@@ -127,6 +127,28 @@
         return value.asLong();
     }
 
+    /**
+     * Reads a number with decimals that is not negative.
+     *
+     * @param field the field's name
+     * @param unit the number's unit
+     * @param max the greatest number allowed
+     * @param fallback the value where it is missing
+     * @return the number
+     */
+    public double decimal(String field, String unit, double max, double fallback) {
+        JsonNode value = ask(field);
+        if (value == null) {
+            return fallback;
+        }
+        if (!value.isNumber() || value.asDouble() < 0 || value.asDouble() > max) {
+            String wanted = "a number of %s between 0 and %s".formatted(unit, max);
+            faults.add(SettingsFault.shouldBe(at(field), value.toString(), wanted));
+            return fallback;
+        }
+        return value.asDouble();
+    }
+
     /**
      * Reads a number between zero and one.
      *
