A call that waits for changes is not cancelled by the empty answer to the one that it replaced

Cause: a call without a sign of life for 2.2 s is replaced, and stays pending beside the new one. When its wait ended without rows, the new call was cancelled and a third one made, so that each silent spell cost two calls more.

Change: the answer is recorded, and the newer call stays (chart follow, guard EMPTY_AND_REPLACED). Whether that one has been lost shows after the same silence as before.

Result: FollowCallsTest has the case, which fails without the change (a call was cancelled).

--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowAction.java
@@ -65,6 +65,14 @@
             return next.withoutCalls(next.calls().pending());
         }
     },
+    /** Records what the store answered to a replaced call, and leaves the call that has replaced it pending. */
+    RECORD_REPLACED_ANSWER {
+        @Override
+        public FollowData apply(FollowData data, FollowInput input, long now, Effects effects) {
+            return data.withAnswer(input, now)
+                    .withoutCalls(data.calls().find(input.callId()).stream().toList());
+        }
+    },
     /** Schedules the next call after the delay that lets further changes accumulate. */
     SCHEDULE_CALL {
         @Override
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowGuard.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowGuard.java
@@ -18,6 +18,15 @@
             return input.callId() != data.calls().lastId();
         }
     },
+    /** The answer has no rows, and the call that has replaced its call is still pending. */
+    EMPTY_AND_REPLACED {
+        @Override
+        public boolean permits(FollowData data, FollowInput input, long now) {
+            return input.empty()
+                    && REPLACED.permits(data, input, now)
+                    && data.calls().isPending(data.calls().lastId());
+        }
+    },
     /** The row that another node knows is newer than any that this node is known to lack. */
     NOT_YET_WANTED {
         @Override
--- a/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowCallsTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/watch/FollowCallsTest.java
@@ -42,6 +42,25 @@
         assertThat(calls(FollowedTable.OPERATORS)).hasSize(1);
     }
 
+    /** Guards against two further calls for each wait of a replaced one that ends. */
+    @Test
+    void should_keep_the_call_that_replaced_another_one_when_that_ends_without_rows() {
+        // given
+        startController();
+        FollowEffect.Await replaced = lastCall();
+        runUntilNextCall();
+        FollowEffect.Await second = lastCall();
+
+        // when
+        FollowInput empty = FollowInput.ofAnswer(9, 0, true);
+        controller.onCallEnded(replaced.table(), replaced.callId(), FollowEvent.CHANGED, empty, now, effects::add);
+
+        // then
+        assertThat(cancelledCalls()).isEmpty();
+        assertThat(lastCall().callId()).isEqualTo(second.callId());
+        assertThat(answer(second, 10)).isTrue();
+    }
+
     @Test
     void should_have_at_most_two_calls_pending_when_none_is_answered() {
         // given
