Command line: a check of a manifest before it is sent

Cause: operators learned of a route that never matches, of weights that are all zero or of a key that two tenants have only from refused requests.

Change: `verbenamast-ctl manifest check FILE [--against FILE] [--json]`. Left out, as a manifest does not tell them: more attempts than servers, and times beyond what a server may be held.

--- a/verbenamast-ctl/src/main/java/org/verbenamast/ctl/CtlCommand.java
+++ b/verbenamast-ctl/src/main/java/org/verbenamast/ctl/CtlCommand.java
@@ -59,6 +59,10 @@
                     + " fencing tokens, leases",
             LogCommands::timeline),
     WATCH("watch", "print the status each second for --seconds", FleetCommands::watch),
+    MANIFEST_CHECK(
+            "manifest check FILE",
+            "check a manifest before it is sent; with --against, print what differs from the version in force",
+            ManifestCommands::check),
     CHARTS("charts [NAME]", "print the state charts; --format text, dot or mermaid", ChartCommands::charts),
     KEYGEN("keygen", "print a new key for an operator", FleetCommands::keygen);
 
--- a/verbenamast-ctl/src/main/java/org/verbenamast/ctl/CtlOptions.java
+++ b/verbenamast-ctl/src/main/java/org/verbenamast/ctl/CtlOptions.java
@@ -23,6 +23,9 @@
     @Parameter(names = "--file", description = "the table's file; its ending, .csv or .json, tells the format")
     String file = "";
 
+    @Parameter(names = "--against", description = "the file of the manifest in force")
+    String against = "";
+
     @Parameter(names = "--reason", description = "why; kept with the command")
     String reason = "";
 
