Tenants: a caller's key names its tenant, and an unknown one is refused

Cause: nothing in the relay knew callers' keys; the key was dropped, no tenant named, and keys of nobody were served.

Change: the entry node decides by CallerIdentity whose a request is, answers 401 before anything is sent on, tells the server the tenant and lets the tenant's priority replace the route's. A new manifest ends waiting requests whose key it withdraws. Requests to a route that can't be read get 503 instead of a shorter prefix's service; unreadable entries are counted and logged once a version.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/manifest/ActiveManifest.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/manifest/ActiveManifest.java
@@ -7,6 +7,7 @@
 
     private Optional<Manifest> manifest = Optional.empty();
     private Optional<RouteTable> routes = Optional.empty();
+    private TenantIndex tenants = TenantIndex.NONE;
 
     /**
      * Puts a version into force unless it is no newer than the current one.
@@ -20,6 +21,7 @@
         }
         manifest = Optional.of(next);
         routes = Optional.of(next.buildRouteTable());
+        tenants = new TenantIndex(next.tenants());
         return true;
     }
 
@@ -68,4 +70,22 @@
     public Optional<RouteTable> routes() {
         return routes;
     }
+
+    /**
+     * Returns the tenants of the version in force.
+     *
+     * @return the tenants; none before a version is known
+     */
+    public TenantIndex tenants() {
+        return tenants;
+    }
+
+    /**
+     * Returns how many entries of the version in force can't be read.
+     *
+     * @return the number; 0 before a version is known
+     */
+    public int gaps() {
+        return manifest.map(known -> known.gaps().size()).orElse(0);
+    }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/manifest/Manifest.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/manifest/Manifest.java
@@ -1,10 +1,12 @@
 package org.verbenamast.core.manifest;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 
 import org.verbenamast.core.check.Checks;
 
@@ -16,9 +18,15 @@
  * @param services the rules of the services
  * @param limits the limits of requests
  * @param tenants the tenants; where there are any, a caller needs the key of one unless the route is public
+ * @param gaps the entries that can't be read
  */
 public record Manifest(
-        long version, List<Route> routes, List<ServiceRules> services, RequestLimits limits, List<Tenant> tenants) {
+        long version,
+        List<Route> routes,
+        List<ServiceRules> services,
+        RequestLimits limits,
+        List<Tenant> tenants,
+        List<ManifestGap> gaps) {
 
     /** Checks the version and the limits and copies the lists. */
     public Manifest {
@@ -27,6 +35,21 @@
         services = List.copyOf(services);
         Objects.requireNonNull(limits, "limits");
         tenants = List.copyOf(tenants);
+        gaps = List.copyOf(gaps);
+    }
+
+    /**
+     * Creates a version whose entries can all be read.
+     *
+     * @param version the version
+     * @param routes the routes
+     * @param services the rules of the services
+     * @param limits the limits of requests
+     * @param tenants the tenants
+     */
+    public Manifest(
+            long version, List<Route> routes, List<ServiceRules> services, RequestLimits limits, List<Tenant> tenants) {
+        this(version, routes, services, limits, tenants, List.of());
     }
 
     /**
@@ -49,6 +72,10 @@
         for (Route route : routes) {
             byHost.computeIfAbsent(route.host(), host -> new HashMap<>()).put(route.prefix(), route);
         }
-        return new RouteTable(byHost);
+        Map<String, Set<String>> unreadable = new HashMap<>();
+        gaps.stream().filter(ManifestGap::isRoute).forEach(gap -> unreadable
+                .computeIfAbsent(gap.host(), host -> new HashSet<>())
+                .add(gap.prefix()));
+        return new RouteTable(byHost, unreadable);
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/manifest/Tenant.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/manifest/Tenant.java
@@ -21,6 +21,9 @@
     /** Checks the fields and copies the list. */
     public Tenant {
         Checks.notBlank("name", name);
+        if (name.chars().anyMatch(Character::isISOControl)) {
+            throw Checks.malformed("name", "a text without control characters", name);
+        }
         keys = List.copyOf(keys);
         Objects.requireNonNull(priority, "priority");
         priority.ifPresent(value -> Checks.notNegative("priority", value));
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
@@ -262,6 +262,7 @@
             answers.onOperatorRows(result, rows, now, effects);
             if (core.manifest().version() != manifestBefore) {
                 answers.operators().manifest().ifPresent(BeliefLog::manifestInForce);
+                callers.onManifestChanged();
             }
             if (!answers.operators().evacuatedZones().equals(zonesBefore)) {
                 LOG.info(
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/backend/BackendCall.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/backend/BackendCall.java
@@ -157,6 +157,9 @@
         headers.set(RequestFields.TIME_LEFT, left);
         headers.set(RequestFields.ONLY_SERVER, request.incarnation().id());
         headers.set(RequestFields.CALLER_SERVICE, open.getCallerService());
+        if (!open.getTenant().isEmpty()) {
+            headers.set(RequestFields.TENANT, open.getTenant());
+        }
         if (open.getBodyLength() > 0) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, open.getBodyLength());
         } else if (open.getBodyLength() < 0) {
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 
 import io.activej.promise.Promise;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import org.verbenamast.core.admission.AdmissionLoad;
 import org.verbenamast.core.admission.Refusal;
 import org.verbenamast.core.entry.EntryEffect;
@@ -11,6 +12,8 @@
 import org.verbenamast.core.gate.crash.FingerprintDigest;
 import org.verbenamast.core.node.Timing;
 import org.verbenamast.core.relay.RelayCore;
+import org.verbenamast.core.tenant.CallerIdentity;
+import org.verbenamast.core.tenant.KeyVerdict;
 import org.verbenamast.core.watch.StoreVersions;
 import org.verbenamast.relay.RelayLoop;
 import org.verbenamast.relay.peer.PeerPool;
@@ -32,6 +35,7 @@
     private static final int FIRST_SERVER_ERROR_STATUS = 500;
 
     private final EntryRequest request;
+    private final CallerIdentity identity;
     private final RelayOpen head;
     private final CallerConnection connection;
     private final RelayCore core;
@@ -56,6 +60,7 @@
 
     CallerExchange(
             EntryRequest request,
+            CallerIdentity identity,
             RelayOpen head,
             CallerConnection connection,
             RelayCore core,
@@ -63,6 +68,7 @@
             PeerPool pool,
             RequestLog log) {
         this.request = Objects.requireNonNull(request, "request");
+        this.identity = Objects.requireNonNull(identity, "identity");
         this.head = Objects.requireNonNull(head, "head");
         this.connection = Objects.requireNonNull(connection, "connection");
         this.core = Objects.requireNonNull(core, "core");
@@ -123,6 +129,25 @@
         return attempt == null ? Promise.complete() : attempt.bodyRoom();
     }
 
+    /**
+     * Handles a new manifest. If the caller's key was withdrawn, a request that still waits ends; one that a server has
+     * goes on, but is not sent again.
+     */
+    void onManifestChanged() {
+        if (identity.holdsUnder(core.manifest().tenants())) {
+            return;
+        }
+        if (accepted() || answer != null) {
+            replayable = false;
+            loop.run((now, effects) -> core.entry().onBodyDropped(request.id(), now, effects));
+            return;
+        }
+        withdraw();
+        onCallerGone();
+        logEnd("refused", KeyVerdict.KEY_WITHDRAWN.name(), 0);
+        connection.answer(HttpResponseStatus.UNAUTHORIZED, "");
+    }
+
     void onCallerGone() {
         loop.run((now, effects) -> core.entry().onCallerGone(request.id(), now, effects));
     }
@@ -161,6 +186,7 @@
     private Object[] logFields(long retryAfterMillis) {
         return new Object[] {
             LogField.SERVICE.of(request.service()),
+            LogField.TENANT.of(identity.tenantName()),
             LogField.KEY.of(request.key().isPresent() ? request.key().getAsInt() : ""),
             LogField.ALLOWED.of((request.deadlineAt() - request.arrivedAt()) / Timing.NANOS_PER_MILLI),
             LogField.RETRY_AFTER.of(retryAfterMillis),
@@ -186,6 +212,8 @@
                 .setHost(head.getHost())
                 .addAllFields(head.getFieldsList())
                 .setCallerService(head.getCallerService())
+                .setTenant(head.getTenant())
+                .setPriority(head.getPriority())
                 .setBodyLength(head.getBodyLength());
         attempt = new RelayAttempt(
                 pool, open.target().peer(), request.route().kind().hasLargeAnswers(), this);
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerServer.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerServer.java
@@ -25,10 +25,12 @@
 import org.verbenamast.core.keys.KeyRange;
 import org.verbenamast.core.manifest.RequestLimits;
 import org.verbenamast.core.manifest.Route;
+import org.verbenamast.core.manifest.RouteTable;
 import org.verbenamast.core.manifest.ServiceRules;
 import org.verbenamast.core.model.Address;
 import org.verbenamast.core.node.Timing;
 import org.verbenamast.core.relay.RelayCore;
+import org.verbenamast.core.tenant.CallerIdentity;
 import org.verbenamast.platform.RequestFields;
 import org.verbenamast.relay.RelayLoop;
 import org.verbenamast.relay.net.EndToEndFields;
@@ -161,6 +163,11 @@
         }
     }
 
+    /** Ends the requests that wait and whose caller's key was withdrawn by the manifest that is in force now. */
+    public void onManifestChanged() {
+        List.copyOf(exchanges.values()).forEach(CallerExchange::onManifestChanged);
+    }
+
     /** Forgets an exchange and returns whether it was still open. */
     boolean onExchangeEnded(CallerExchange exchange) {
         return exchanges.remove(exchange.request().id()) != null;
@@ -172,7 +179,9 @@
 
     /** Starts a request, or answers it immediately if it is rejected here. */
     void begin(CallerConnection connection, HttpRequest head) {
-        if (refusing || core.manifest().routes().isEmpty()) {
+        String host = head.headers().get(HttpHeaderNames.HOST, "");
+        Optional<RouteTable> routes = core.manifest().routes();
+        if (refusing || routes.isEmpty() || routes.get().isUnreadable(host, head.uri())) {
             connection.answer(
                     HttpResponseStatus.SERVICE_UNAVAILABLE, RequestFields.retryAfter(UNAVAILABLE_RETRY_MILLIS));
             return;
@@ -181,8 +190,7 @@
             connection.answer(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "");
             return;
         }
-        String host = head.headers().get(HttpHeaderNames.HOST, "");
-        Optional<Route> route = core.manifest().routes().get().find(host, head.uri());
+        Optional<Route> route = routes.get().find(host, head.uri());
         String attemptId = head.headers().get(RequestFields.ATTEMPT_ID, "");
         if (route.isEmpty() || attemptId.isEmpty()) {
             String reason = route.isEmpty() ? "NO_ROUTE" : "NO_ID";
@@ -193,10 +201,27 @@
             connection.answer(route.isEmpty() ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.BAD_REQUEST, "");
             return;
         }
-        begin(connection, head, route.get(), attemptId);
+        CallerIdentity identity = CallerIdentity.of(
+                head.headers().getAll(RequestFields.CALLER_KEY),
+                route.get(),
+                core.manifest().tenants());
+        if (identity.verdict().isRefused()) {
+            log.recordEnd(
+                    new RequestEnd(
+                            "refused",
+                            identity.verdict().name(),
+                            attemptId,
+                            route.get().name(),
+                            0),
+                    () -> new Object[] {LogField.MANIFEST.of(core.manifest().version())});
+            connection.answer(HttpResponseStatus.UNAUTHORIZED, "");
+            return;
+        }
+        begin(connection, head, route.get(), attemptId, identity);
     }
 
-    private void begin(CallerConnection connection, HttpRequest head, Route route, String attemptId) {
+    private void begin(
+            CallerConnection connection, HttpRequest head, Route route, String attemptId, CallerIdentity identity) {
         long now = RelayLoop.now();
         String targetService = route.selectService(ThreadLocalRandom.current().nextDouble());
         long budgetMillis = parseNonNegative(head.headers().get(RequestFields.TIME_LEFT), DEFAULT_DEADLINE_MILLIS);
@@ -213,7 +238,8 @@
                 now,
                 now + Timing.millisToNanos(route.objectiveMillis() - spentMillis),
                 Math.max(now, Math.min(answersUntil, now + Timing.millisToNanos(deadlineMillis))));
-        CallerExchange exchange = new CallerExchange(request, openFrame(head), connection, core, loop, pool, log);
+        CallerExchange exchange = new CallerExchange(
+                request, identity, openFrame(head, identity, route), connection, core, loop, pool, log);
         exchanges.put(request.id(), exchange);
         connection.setExchange(exchange);
         exchange.open();
@@ -245,12 +271,14 @@
         return "host".equalsIgnoreCase(name) || RequestFields.setByNodes(name);
     }
 
-    private RelayOpen openFrame(HttpRequest head) {
+    private RelayOpen openFrame(HttpRequest head, CallerIdentity identity, Route route) {
         return RelayOpen.newBuilder()
                 .setMethod(head.method().name())
                 .setTarget(head.uri())
                 .setHost(head.headers().get(HttpHeaderNames.HOST, ""))
                 .setCallerService(service)
+                .setTenant(identity.tenantName())
+                .setPriority(identity.priority(route))
                 .setBodyLength(HttpUtil.isTransferEncodingChunked(head) ? -1 : HttpUtil.getContentLength(head, 0L))
                 .addAllFields(EndToEndFields.of(head.headers(), CallerServer::isNotForwarded))
                 .build();
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/OperatorRows.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/OperatorRows.java
@@ -33,11 +33,6 @@
     private static Optional<OperatorRow> decodeManifest(RawRow row, byte[] value) {
         return ManifestMessage.decode(value)
                 .peekLeft(fault -> LOG.warn("ignoring the manifest of row version {}: {}", row.version(), fault))
-                .peek(decoded -> decoded.faults()
-                        .forEach(fault -> LOG.warn(
-                                "manifest {} has an entry that can't be read: {}",
-                                decoded.manifest().version(),
-                                fault)))
                 .<OperatorRow>map(decoded -> new OperatorRow.ManifestRow(row.version(), decoded.manifest()))
                 .toJavaOptional();
     }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/BeliefLog.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/BeliefLog.java
@@ -43,15 +43,19 @@
     }
 
     /**
-     * Logs that a version of the manifest has come into force.
+     * Logs that a version of the manifest has come into force, and each of its entries that can't be read.
      *
      * @param manifest the manifest
      */
     public static void manifestInForce(Manifest manifest) {
         LOG.info(
-                "manifest {} in force, {} routes",
+                "manifest {} in force, {} routes, {} tenants",
                 manifest.version(),
-                manifest.routes().size());
+                manifest.routes().size(),
+                manifest.tenants().size());
+        manifest.gaps()
+                .forEach(gap ->
+                        LOG.warn("manifest {} has an entry that can't be read: {}", manifest.version(), gap.fault()));
     }
 
     /**
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/LogField.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/LogField.java
@@ -17,6 +17,8 @@
     ROUTE("route"),
     /** The service that the route leads to. */
     SERVICE("service"),
+    /** The tenant whose request it is, empty if it belongs to none. */
+    TENANT("tenant"),
     /** The key, empty if the request has none. */
     KEY("key"),
     /** Time since the request arrived at this hop, in milliseconds. */
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/MetricsPage.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/MetricsPage.java
@@ -76,6 +76,10 @@
         int members = core.roster().members().size();
         long manifest = core.manifest().version();
         snapshots.metricSnapshot(gauge("manifest_version", "Version of the manifest in force.", manifest));
+        snapshots.metricSnapshot(gauge(
+                "manifest_unreadable_entries",
+                "Entries of the manifest in force that can't be read.",
+                core.manifest().gaps()));
         snapshots.metricSnapshot(gauge("members", "Members that the node knows.", members));
         snapshots.metricSnapshot(gauge("ready", "Whether the node can take requests.", core.isReady() ? 1 : 0));
         snapshots.metricSnapshot(gauge(
