Requests that a server with room has rejected return at once, and its own reports bound what it gets

Cause: a service whose servers reject half of the requests although they have room (a disruption, not load: running was below the slots in every logged case; no server rejected before and after it) told callers to return after 300 to 600 ms, asked the owner of a key once only, and looked idle to entry nodes. Ruled out: slots that the gate counts wrongly. Change: gates decode the load that servers report, leave slots to requests that the server still runs though withdrawn, tell the time until a rejected request is likely accepted, and report it in their service time; the owner of a key is asked once more within the budget.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionController.java
@@ -4,11 +4,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 
 import org.verbenamast.core.chart.ChartInstances;
-import org.verbenamast.core.chart.ChartState;
 import org.verbenamast.core.chart.Instance;
 import org.verbenamast.core.chart.Transition;
 import org.verbenamast.core.chart.TransitionListener;
@@ -40,8 +38,13 @@
     /** Longest wait when the sender has no other server to ask, as a ratio of the spare time until the deadline. */
     private static final double DEADLINE_WAIT_RATIO = 0.6;
 
+    /** Time after which a request is sent again that a server with room has rejected, in milliseconds. */
+    private static final double MIN_REJECTED_RETRY_MILLIS = 25;
+
     private final ChartInstances<Long, AdmissionEvent, AdmissionData, AdmissionInput> requests;
-    private final AdmissionRules rules;
+    private final AdmissionConditions conditions;
+    private final ServerCapacity capacity = new ServerCapacity();
+    private final UsefulShare usefulShare = new UsefulShare();
     private final ColdWindow coldWindow = new ColdWindow();
     private final ServiceTimes serviceTimes = new ServiceTimes();
     private final TransferLimit transfers = new TransferLimit(serviceTimes);
@@ -53,9 +56,6 @@
     private final Map<Long, AdmissionRequest> awaitingKey = new LinkedHashMap<>();
 
     private int running;
-    private Optional<ServerStatus> server = Optional.empty();
-    private boolean stopping;
-    private boolean closed;
 
     /**
      * Creates a controller that has no server yet.
@@ -64,7 +64,7 @@
      * @param listener notified of each transition of a request
      */
     public AdmissionController(AdmissionRules rules, TransitionListener listener) {
-        this.rules = Objects.requireNonNull(rules, "rules");
+        this.conditions = new AdmissionConditions(rules);
         this.requests = new ChartInstances<>(
                 ChartReader.bundled("gate-request", VOCABULARY),
                 event -> AdmissionInput.NONE,
@@ -78,7 +78,8 @@
         if (transition.to() == null) {
             return;
         }
-        running += isTagged(transition.to(), AdmissionTag.RUNNING) - isTagged(transition.from(), AdmissionTag.RUNNING);
+        running += transition.to().hasTag(AdmissionTag.RUNNING) ? 1 : 0;
+        running -= transition.from().hasTag(AdmissionTag.RUNNING) ? 1 : 0;
         recordMembership(queued, transition.to().hasTag(AdmissionTag.WAITING), id);
         recordMembership(awaitingKey, transition.to().hasTag(AdmissionTag.AWAITING_KEY), id);
         boolean inFlight =
@@ -94,10 +95,6 @@
         }
     }
 
-    private static int isTagged(ChartState state, AdmissionTag tag) {
-        return state.hasTag(tag) ? 1 : 0;
-    }
-
     /**
      * Applies a new status of the server and refuses queued requests that the server can no longer serve.
      *
@@ -106,7 +103,9 @@
      * @param effects receives the effects
      */
     public void onServerStatus(Optional<ServerStatus> status, long now, Effects effects) {
-        this.server = status;
+        if (conditions.recordServer(status)) {
+            capacity.reset();
+        }
         reviewWaiting(now, effects);
     }
 
@@ -117,7 +116,7 @@
      * @param effects receives the effects
      */
     public void stop(long now, Effects effects) {
-        stopping = true;
+        conditions.recordStopping();
         reviewWaiting(now, effects);
     }
 
@@ -129,7 +128,7 @@
      * @param effects receives the effects
      */
     public void close(long now, Effects effects) {
-        closed = true;
+        conditions.recordClosed();
         reviewWaiting(now, effects);
     }
 
@@ -150,9 +149,9 @@
     }
 
     private AdmissionInput decide(AdmissionRequest request, long now) {
-        Optional<Refusal> refusal = findRefusal(request, now);
+        Optional<Refusal> refusal = conditions.findRefusal(request, now);
         if (refusal.isPresent()) {
-            return isKeyExpected(refusal.get(), request, now)
+            return conditions.isKeyExpected(refusal.get(), request, now)
                     ? AdmissionInput.of(AdmissionInput.Verdict.AWAIT_KEY)
                     : AdmissionInput.refused(refusal.get(), 0);
         }
@@ -166,11 +165,7 @@
         if (waitMillis <= maxWaitMillis(request, now)) {
             return AdmissionInput.of(AdmissionInput.Verdict.QUEUE);
         }
-        return AdmissionInput.refused(isCold(now) ? Refusal.COLD : Refusal.FULL, (long) waitMillis);
-    }
-
-    private boolean isKeyExpected(Refusal refusal, AdmissionRequest request, long now) {
-        return refusal == Refusal.NOT_OWNER && rules.isExpected(request.key().orElseThrow(), now);
+        return AdmissionInput.refused(conditions.isCold(now) ? Refusal.COLD : Refusal.FULL, (long) waitMillis);
     }
 
     private void recordDispatch(boolean isLeftOver, long now) {
@@ -178,37 +173,16 @@
         discipline.recordDispatch(isLeftOver);
     }
 
-    private Optional<Refusal> findRefusal(AdmissionRequest request, long now) {
-        if (server.isEmpty() || !server.get().incarnation().equals(request.incarnation())) {
-            return Optional.of(Refusal.WRONG_SERVER);
-        }
-        ServerStatus status = server.get();
-        boolean keyed = request.key().isPresent();
-        if (status.isLeaving() && (!keyed || now >= status.keyedUntil())) {
-            return Optional.of(Refusal.LEAVING);
-        }
-        if (closed || stopping && !keyed) {
-            return Optional.of(Refusal.STOPPING);
-        }
-        if (rules.isEvacuated(keyed, now)) {
-            return Optional.of(Refusal.EVACUATED);
-        }
-        if (keyed && !rules.isGranted(request.key().getAsInt(), now)) {
-            return Optional.of(Refusal.NOT_OWNER);
-        }
-        return rules.isSuspect(request.id(), now) ? Optional.of(Refusal.SUSPECT) : Optional.empty();
-    }
-
-    private boolean isCold(long now) {
-        return server.filter(status -> now < status.coldUntil() && status.coldPerSecond() > 0)
-                .isPresent();
-    }
-
     private boolean hasRoom(long now) {
-        if (server.isEmpty() || running >= server.get().slots()) {
+        if (running >= usableSlots(now)) {
             return false;
         }
-        return !isCold(now) || coldWindow.allows(server.get().coldPerSecond(), now);
+        return !conditions.isCold(now)
+                || coldWindow.allows(conditions.server().get().coldPerSecond(), now);
+    }
+
+    private int usableSlots(long now) {
+        return conditions.server().isEmpty() ? 0 : capacity.usableSlots(conditions.slots(), serviceTimes.millis(), now);
     }
 
     /**
@@ -217,13 +191,13 @@
      * limited rate.
      */
     private double expectedWaitMillis(AdmissionRequest request, long now) {
-        double waitMillis =
-                discipline.waitMillis(request, queued.values(), server.get().slots(), now);
-        if (!isCold(now)) {
+        double waitMillis = discipline.waitMillis(request, queued.values(), conditions.slots(), now);
+        if (!conditions.isCold(now)) {
             return waitMillis;
         }
         int ahead = discipline.ahead(request, queued.values(), now).size();
-        return Math.max(waitMillis, (ahead + 1) * 1_000 / server.get().coldPerSecond());
+        return Math.max(
+                waitMillis, (ahead + 1) * 1_000 / conditions.server().get().coldPerSecond());
     }
 
     private double maxWaitMillis(AdmissionRequest request, long now) {
@@ -236,15 +210,17 @@
      * Handles the end of a request at the server: the server answered, or its connection broke.
      *
      * @param id the request's number
-     * @param answered whether the server answered, so that the elapsed time counts as a service time
+     * @param outcome how it ended
      * @param now the monotonic time, in nanoseconds
      * @param effects receives the effects
      */
-    public void onFinished(long id, boolean answered, long now, Effects effects) {
+    public void onFinished(long id, ServerOutcome outcome, long now, Effects effects) {
         Instance<AdmissionData> instance = requests.find(id);
         if (instance == null) {
             return;
         }
+        usefulShare.record(outcome);
+        boolean answered = outcome.hasServiceTime();
         if (answered && instance.hasTag(AdmissionTag.RUNNING)) {
             serviceTimes.add(
                     instance.data().request().route(), now - instance.data().startedAt());
@@ -255,6 +231,27 @@
         refuseHopeless(now, effects);
     }
 
+    /**
+     * Handles the load that the server reports with an answer.
+     *
+     * @param load the load
+     * @param now the monotonic time, in nanoseconds
+     */
+    public void onServerLoad(ServerLoad load, long now) {
+        capacity.record(load, running, now);
+    }
+
+    /**
+     * Returns when the sender of a request that the server has rejected may send it again.
+     *
+     * @return the time in which it is expected to be accepted, in milliseconds
+     */
+    public long rejectedRetryMillis() {
+        double slotMillis = serviceTimes.millis() / Math.max(1, conditions.slots());
+        double waitMillis = capacity.isFull() ? slotMillis * (1 + queued.size()) : MIN_REJECTED_RETRY_MILLIS;
+        return (long) (waitMillis * usefulShare.sendsPerAnswer());
+    }
+
     /**
      * Handles that the sender has received all of a large answer; ignored if it is not known to be on its way.
      *
@@ -293,7 +290,7 @@
             }
         }
         for (AdmissionRequest request : List.copyOf(queued.values())) {
-            Optional<Refusal> refusal = findRefusal(request, now);
+            Optional<Refusal> refusal = conditions.findRefusal(request, now);
             if (refusal.isPresent()) {
                 requests.fire(
                         request.id(), AdmissionEvent.REJECTED, AdmissionInput.refused(refusal.get(), 0), now, effects);
@@ -305,11 +302,10 @@
 
     /** Refuses the queued requests that later ones keep overtaking until it is too late to answer them. */
     private void refuseHopeless(long now, Effects effects) {
-        if (server.isEmpty() || queued.isEmpty()) {
+        if (conditions.server().isEmpty() || queued.isEmpty()) {
             return;
         }
-        for (AdmissionRequest request :
-                discipline.hopeless(queued.values(), server.get().slots(), now)) {
+        for (AdmissionRequest request : discipline.hopeless(queued.values(), conditions.slots(), now)) {
             AdmissionInput input = AdmissionInput.refused(Refusal.FULL, (long) expectedWaitMillis(request, now));
             requests.fire(request.id(), AdmissionEvent.REJECTED, input, now, effects);
         }
@@ -361,8 +357,7 @@
      */
     public long nextDue() {
         boolean delayedByCold =
-                server.filter(status -> running < status.slots()).isPresent()
-                        && queued.values().stream().anyMatch(transfers::allows);
+                running < conditions.slots() && queued.values().stream().anyMatch(transfers::allows);
         return delayedByCold ? Math.min(requests.nextDue(), coldWindow.nextExpiry()) : requests.nextDue();
     }
 
@@ -373,9 +368,14 @@
      * @return the load, as it is reported to senders
      */
     public AdmissionLoad load(long now) {
-        int slots = server.map(ServerStatus::slots).orElse(0);
+        double serviceMillis = serviceTimes.millis() * usefulShare.sendsPerAnswer();
         return new AdmissionLoad(
-                running, queued.size(), slots, (int) Math.max(1, serviceTimes.millis()), isCold(now), stopping);
+                running,
+                queued.size(),
+                conditions.slots(),
+                (int) Math.max(1, serviceMillis),
+                conditions.isCold(now),
+                conditions.isStopping());
     }
 
     /**
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/Refusal.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/Refusal.java
@@ -74,6 +74,15 @@
         return this == NOT_OWNER || this == MISDIRECTED;
     }
 
+    /**
+     * Returns whether the same server may run the request at once: it rejects requests although it has room.
+     *
+     * @return whether it makes sense to send the request to the same server again
+     */
+    public boolean sameServerMayServe() {
+        return this == SHED;
+    }
+
     /**
      * Returns when a refused caller may retry if no server has reported an expected delay.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryData.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryData.java
@@ -73,7 +73,7 @@
                 earliest,
                 mayHaveRun,
                 isReplayable,
-                true);
+                !reason.sameServerMayServe());
     }
 
     /** Returns the state after an attempt that reached a server and may have run there. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryGuard.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryGuard.java
@@ -23,14 +23,19 @@
                             < (data.request().deadlineAt() - data.request().arrivedAt()) / KEY_WAIT_DIVISOR;
         }
     },
-    /** Another node may be asked: the request reached no server, or one that refused it and the budget allows more. */
+    /**
+     * Another node, or the owner of the key once more, may be asked: the request reached no server, or one that refused
+     * it and the budget allows more.
+     */
     MAY_ASK_OTHER {
         @Override
         public boolean permits(EntryData data, EntryInput input, long now) {
             boolean reachedServer = input.refusal().countedSends() > 0;
             boolean allowed = !reachedServer || input.withinBudget() && data.hasSendsLeft();
             boolean otherNode = input.refusal().otherServerMayServe() && !data.isKeyed()
-                    || data.isKeyed() && input.refusal().viewOutdated();
+                    || data.isKeyed()
+                            && (input.refusal().viewOutdated()
+                                    || input.refusal().sameServerMayServe());
             return data.isReplayable() && allowed && otherNode && data.openedAttempts() < MAX_OPENED_ATTEMPTS;
         }
     },
--- a/verbenamast-core/src/test/java/org/verbenamast/core/admission/AdmissionControllerTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/admission/AdmissionControllerTest.java
@@ -21,7 +21,7 @@
 
         // then
         assertThat(dispatched()).containsExactly(first, second);
-        controller.onFinished(first, true, now, effects::add);
+        controller.onFinished(first, ServerOutcome.ANSWERED, now, effects::add);
         assertThat(dispatched()).containsExactly(first, second, third);
     }
 
@@ -34,7 +34,7 @@
         long urgent = open(0, 500, OptionalInt.empty());
 
         // when
-        controller.onFinished(running, true, now, effects::add);
+        controller.onFinished(running, ServerOutcome.ANSWERED, now, effects::add);
 
         // then
         assertThat(dispatched()).containsExactly(running, urgent);
@@ -50,7 +50,7 @@
 
         // when
         now += Timing.millisToNanos(50);
-        controller.onFinished(running, true, now, effects::add);
+        controller.onFinished(running, ServerOutcome.ANSWERED, now, effects::add);
 
         // then
         assertThat(dispatched()).containsExactly(running, inTime);
@@ -70,7 +70,7 @@
 
         // when
         now += Timing.millisToNanos(90);
-        controller.onFinished(running, true, now, effects::add);
+        controller.onFinished(running, ServerOutcome.ANSWERED, now, effects::add);
 
         // then
         assertThat(dispatched()).endsWith(running, shortRequest);
@@ -79,7 +79,7 @@
     private void run(String route, long millis) {
         long id = open(route, 1, 500, OptionalInt.empty());
         now += Timing.millisToNanos(millis);
-        controller.onFinished(id, true, now, effects::add);
+        controller.onFinished(id, ServerOutcome.ANSWERED, now, effects::add);
     }
 
     @Test
@@ -128,7 +128,7 @@
 
         // then
         assertThat(dispatched()).containsExactly(first, second);
-        controller.onFinished(first, true, now, effects::add);
+        controller.onFinished(first, ServerOutcome.ANSWERED, now, effects::add);
         assertThat(dispatched()).containsExactly(first, second, third);
     }
 
@@ -214,7 +214,7 @@
         assertThat(refusalOf(late)).isEqualTo(Refusal.STOPPING);
         assertThat(effects).noneMatch(effect -> effect instanceof AdmissionEffect.Cancel);
         assertThat(controller.isIdle()).isFalse();
-        controller.onFinished(running, true, now, effects::add);
+        controller.onFinished(running, ServerOutcome.ANSWERED, now, effects::add);
         assertThat(controller.isIdle()).isTrue();
     }
 
--- a/verbenamast-core/src/test/java/org/verbenamast/core/admission/OverloadMeasureTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/admission/OverloadMeasureTest.java
@@ -99,7 +99,7 @@
             if (now == finishAt) {
                 Finish finish = finishes.poll();
                 ended.put(finish.id(), now);
-                controller.onFinished(finish.id(), true, now, effects::add);
+                controller.onFinished(finish.id(), ServerOutcome.ANSWERED, now, effects::add);
             } else if (now == arrivalAt) {
                 controller.onRequest(request(next, now), now, effects::add);
                 next++;
--- a/verbenamast-core/src/test/java/org/verbenamast/core/admission/TransferLimitTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/admission/TransferLimitTest.java
@@ -20,8 +20,8 @@
         long first = openLarge();
         long second = openLarge();
         now += Timing.millisToNanos(100);
-        controller.onFinished(first, true, now, effects::add);
-        controller.onFinished(second, true, now, effects::add);
+        controller.onFinished(first, ServerOutcome.ANSWERED, now, effects::add);
+        controller.onFinished(second, ServerOutcome.ANSWERED, now, effects::add);
         now += Timing.millisToNanos(300);
         controller.onReceived(first, now, effects::add);
         now += Timing.millisToNanos(300);
@@ -46,7 +46,7 @@
         assertThat(controller.nextDue()).as("nothing to do at once").isGreaterThan(now);
 
         // when
-        controller.onFinished(one, true, now, effects::add);
+        controller.onFinished(one, ServerOutcome.ANSWERED, now, effects::add);
         assertThat(dispatched()).doesNotContain(delayed);
         controller.onReceived(one, now, effects::add);
 
@@ -61,8 +61,8 @@
         receiveLargeAnswersSlowly();
         long withdrawn = openLarge();
         long overdue = openLarge();
-        controller.onFinished(withdrawn, true, now, effects::add);
-        controller.onFinished(overdue, true, now, effects::add);
+        controller.onFinished(withdrawn, ServerOutcome.ANSWERED, now, effects::add);
+        controller.onFinished(overdue, ServerOutcome.ANSWERED, now, effects::add);
 
         // when
         controller.onWithdrawn(withdrawn, now, effects::add);
--- a/verbenamast-core/src/test/java/org/verbenamast/core/admission/TransferMeasureTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/admission/TransferMeasureTest.java
@@ -161,7 +161,7 @@
             Sent request = sent.get(id);
             double transferMillis = drawMillis(request.load().transferMillis);
             linkFreeAt = Math.max(clock, linkFreeAt) + transferMillis;
-            decide(effects -> controller.onFinished(id, true, nanos(), effects::add));
+            decide(effects -> controller.onFinished(id, ServerOutcome.ANSWERED, nanos(), effects::add));
             if (receipts == Receipts.ASSUMED) {
                 decide(effects -> controller.onReceived(id, nanos(), effects::add));
             }
--- a/verbenamast-core/src/test/java/org/verbenamast/core/entry/FleetChoiceMeasureTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/entry/FleetChoiceMeasureTest.java
@@ -1,5 +1,6 @@
 package org.verbenamast.core.entry;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.verbenamast.core.entry.SimulatedFleet.Reports;
@@ -39,4 +40,21 @@
                     .isGreaterThanOrEqualTo(random);
         }
     }
+
+    @Test
+    void should_send_few_requests_to_a_server_that_rejects_half_of_them() {
+        for (long seed = 1; seed <= 3; seed++) {
+            // when
+            SimulatedFleet fleet = new SimulatedFleet(25, 0.67, seed, Reports.DELIVERED).withRejections(1, 0.5);
+            fleet.play();
+            System.out.printf(
+                    "one of ten servers rejects half, seed %d: %.3f of arrivals rejected, %.3f in time%n",
+                    seed, fleet.rejectedShareOfArrivals(), fleet.share(Result.IN_TIME));
+
+            // then
+            assertThat(fleet.rejectedShareOfArrivals())
+                    .as("rejected arrivals, seed %d", seed)
+                    .isLessThan(0.02);
+        }
+    }
 }
--- a/verbenamast-core/src/test/java/org/verbenamast/core/entry/SimulatedFleet.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/entry/SimulatedFleet.java
@@ -15,7 +15,9 @@
 import org.verbenamast.core.admission.AdmissionEffect;
 import org.verbenamast.core.admission.AdmissionLoad;
 import org.verbenamast.core.admission.AdmissionRequest;
-import org.verbenamast.core.admission.AdmissionRules;
+import org.verbenamast.core.admission.AllPermitted;
+import org.verbenamast.core.admission.Refusal;
+import org.verbenamast.core.admission.ServerOutcome;
 import org.verbenamast.core.admission.ServerStatus;
 import org.verbenamast.core.chart.TransitionListener;
 import org.verbenamast.core.effect.Effect;
@@ -53,28 +55,6 @@
     private static final double PLAYED_MILLIS = 9_000;
     private static final double WARM_UP_MILLIS = 2_000;
 
-    private static final AdmissionRules ALL_PERMITTED = new AdmissionRules() {
-        @Override
-        public boolean isEvacuated(boolean keyed, long now) {
-            return false;
-        }
-
-        @Override
-        public boolean isGranted(int key, long now) {
-            return true;
-        }
-
-        @Override
-        public boolean isExpected(int key, long now) {
-            return true;
-        }
-
-        @Override
-        public boolean isSuspect(long id, long now) {
-            return false;
-        }
-    };
-
     /** A kind of request: its route, mean and spread of its work, and requests per second and entry. */
     private enum Load {
         LONG(RequestKind.UNSAFE, 1, 250, 0.5, 850, 1_200, 3.14),
@@ -162,6 +142,9 @@
 
     private final Reports reports;
     private final int paceSeed;
+    private int rejectingServers;
+    private double rejectedShare;
+    private int rejections;
     private double clock;
     private long lastEvent;
     private long lastRequest;
@@ -187,6 +170,13 @@
         }
     }
 
+    /** Has the first servers reject a share of the requests although they have room. */
+    SimulatedFleet withRejections(int servers, double share) {
+        rejectingServers = servers;
+        rejectedShare = share;
+        return this;
+    }
+
     private static Zone zoneOf(int index) {
         return new Zone("zone-" + index % 4);
     }
@@ -203,7 +193,7 @@
                 SLOTS,
                 ServerState.READY));
         serverIndexes.put(node, index);
-        AdmissionController gate = new AdmissionController(ALL_PERMITTED, TransitionListener.NONE);
+        AdmissionController gate = new AdmissionController(new AllPermitted(), TransitionListener.NONE);
         gate.onServerStatus(Optional.of(new ServerStatus(incarnation, SERVICE, SLOTS, 0, 0, 0)), nanos(), effect -> {});
         gates.add(gate);
         dispatched.add(0);
@@ -309,6 +299,10 @@
             AdmissionLoad load = reports.received(gate.load(nanos()));
             if (effect instanceof AdmissionEffect.Dispatch) {
                 dispatched.set(server, dispatched.get(server) + 1);
+                if (server < rejectingServers && random.nextDouble() < rejectedShare) {
+                    schedule(HOP_MILLIS, () -> reject(server, id));
+                    continue;
+                }
                 double millis = durationMillis(server, open.get(id).workMillis());
                 schedule(millis, () -> finish(server, id));
             } else if (effect instanceof AdmissionEffect.Refuse refuse) {
@@ -331,12 +325,24 @@
     private void finish(int server, long id) {
         int entry = open.get(id).entry();
         AdmissionLoad load = reports.received(gates.get(server).load(nanos()));
-        atGate(server, effects -> gates.get(server).onFinished(id, true, nanos(), effects));
+        atGate(server, effects -> gates.get(server).onFinished(id, ServerOutcome.ANSWERED, nanos(), effects));
         schedule(
                 HOP_MILLIS,
                 () -> atEntry(entry, effects -> entries.get(entry).onAnswer(id, false, load, nanos(), effects)));
     }
 
+    private void reject(int server, long id) {
+        rejections++;
+        int entry = open.get(id).entry();
+        atGate(server, effects -> gates.get(server).onFinished(id, ServerOutcome.REJECTED, nanos(), effects));
+        long retryMillis = gates.get(server).rejectedRetryMillis();
+        AdmissionLoad load = reports.received(gates.get(server).load(nanos()));
+        schedule(
+                HOP_MILLIS,
+                () -> atEntry(entry, effects -> entries.get(entry)
+                        .onRefused(id, Refusal.SHED, retryMillis, load, nanos(), effects)));
+    }
+
     private double durationMillis(int server, double workMillis) {
         double left = workMillis / SPEEDS[server % SPEEDS.length];
         double at = clock;
@@ -370,6 +376,11 @@
         return sum / all;
     }
 
+    double rejectedShareOfArrivals() {
+        return (double) rejections
+                / dispatched.stream().mapToInt(Integer::intValue).sum();
+    }
+
     double busiestOverMean() {
         double mean = dispatched.stream().mapToInt(Integer::intValue).average().orElseThrow();
         return dispatched.stream().mapToInt(Integer::intValue).max().orElseThrow() / mean;
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/backend/BackendCall.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/backend/BackendCall.java
@@ -17,8 +17,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import org.verbenamast.core.admission.AdmissionRequest;
+import org.verbenamast.core.admission.ServerLoad;
 import org.verbenamast.core.node.Timing;
 import org.verbenamast.platform.RequestFields;
+import org.verbenamast.platform.ServerLoadField;
 import org.verbenamast.relay.RelayLoop;
 import org.verbenamast.relay.net.HttpLink;
 import org.verbenamast.wire.generated.RelayField;
@@ -40,6 +42,13 @@
          */
         void onNotRun(boolean misdirected);
 
+        /**
+         * Handles the load that the server reports with an answer or a refusal; comes before these.
+         *
+         * @param load the load
+         */
+        void onServerLoad(ServerLoad load);
+
         /**
          * Handles the head of the answer.
          *
@@ -224,6 +233,7 @@
             return;
         }
         answerStatus = status;
+        ServerLoadField.decode(head.headers().get(RequestFields.SERVER_LOAD)).ifPresent(observer::onServerLoad);
         refused = head.headers().contains(RequestFields.NOT_RUN) || status == MISDIRECTED_STATUS;
         if (refused && !hasOwnId(head)) {
             // It may be of another request, while the server runs this one.
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/AdmissionExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/AdmissionExchange.java
@@ -8,6 +8,8 @@
 import org.verbenamast.core.admission.AdmissionLoad;
 import org.verbenamast.core.admission.AdmissionRequest;
 import org.verbenamast.core.admission.Refusal;
+import org.verbenamast.core.admission.ServerLoad;
+import org.verbenamast.core.admission.ServerOutcome;
 import org.verbenamast.core.gate.crash.FingerprintDigest;
 import org.verbenamast.core.node.Timing;
 import org.verbenamast.relay.RelayLoop;
@@ -28,6 +30,8 @@
 /** One request that an entry node, maybe this node itself, sends to the backend server beside this node. */
 final class AdmissionExchange implements BackendCall.Observer {
 
+    private static final int FIRST_SERVER_ERROR_STATUS = 500;
+
     private final FrameLink link;
     private final AdmissionRequest request;
     private final RelayOpen open;
@@ -35,6 +39,7 @@
     private final FingerprintDigest content;
     private final GateServer server;
     private boolean ended;
+    private ServerOutcome outcome = ServerOutcome.ANSWERED;
 
     AdmissionExchange(FrameLink link, AdmissionRequest request, RelayOpen open, BackendPool pool, GateServer server) {
         this.link = Objects.requireNonNull(link, "link");
@@ -143,18 +148,30 @@
     @Override
     public void onUnsent() {
         server.serverUnreachable();
-        server.requestFinished(request.id(), false);
+        server.requestFinished(request.id(), ServerOutcome.UNSENT);
         refuse(Refusal.UNREACHABLE, 0);
     }
 
     @Override
     public void onNotRun(boolean misdirected) {
-        server.requestFinished(request.id(), false);
-        refuse(misdirected ? Refusal.MISDIRECTED : Refusal.SHED, 0);
+        server.requestFinished(request.id(), misdirected ? ServerOutcome.UNSENT : ServerOutcome.REJECTED);
+        if (misdirected) {
+            refuse(Refusal.MISDIRECTED, 0);
+        } else {
+            refuse(Refusal.SHED, server.rejectedRetryMillis());
+        }
+    }
+
+    @Override
+    public void onServerLoad(ServerLoad load) {
+        server.serverLoad(load);
     }
 
     @Override
     public void onAnswerHead(HttpResponse head, long length) {
+        if (head.status().code() >= FIRST_SERVER_ERROR_STATUS) {
+            outcome = ServerOutcome.FAILED;
+        }
         RelayAnswer.Builder answer = RelayAnswer.newBuilder()
                 .setStatus(head.status().code())
                 .setBodyLength(length)
@@ -171,7 +188,7 @@
     @Override
     public void onAnswerEnd() {
         server.requestAnswered(request.id());
-        server.requestFinished(request.id(), true);
+        server.requestFinished(request.id(), outcome);
         server.log()
                 .recordEnd(
                         RequestEnd.answered(request.attemptId(), request.route(), elapsedNanos()), () -> logFields(0));
@@ -181,7 +198,7 @@
     @Override
     public void onBroken() {
         server.connectionLost(request);
-        server.requestFinished(request.id(), false);
+        server.requestFinished(request.id(), ServerOutcome.BROKEN);
         log("broken", "connection to the server lost or answer unusable", 0);
         fail();
     }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateServer.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateServer.java
@@ -16,6 +16,8 @@
 import org.verbenamast.core.admission.AdmissionEffect;
 import org.verbenamast.core.admission.AdmissionLoad;
 import org.verbenamast.core.admission.AdmissionRequest;
+import org.verbenamast.core.admission.ServerLoad;
+import org.verbenamast.core.admission.ServerOutcome;
 import org.verbenamast.core.model.Address;
 import org.verbenamast.core.relay.RelayCore;
 import org.verbenamast.core.rows.StoredRow;
@@ -122,8 +124,16 @@
         return core.follow().versions(RelayLoop.now());
     }
 
-    void requestFinished(long id, boolean answered) {
-        loop.run((now, effects) -> core.admission().onFinished(id, answered, now, effects));
+    void requestFinished(long id, ServerOutcome outcome) {
+        loop.run((now, effects) -> core.admission().onFinished(id, outcome, now, effects));
+    }
+
+    void serverLoad(ServerLoad load) {
+        core.admission().onServerLoad(load, RelayLoop.now());
+    }
+
+    long rejectedRetryMillis() {
+        return core.admission().rejectedRetryMillis();
     }
 
     void serverUnreachable() {
--- a/verbenamast-relay/src/test/java/org/verbenamast/relay/backend/BackendCallTest.java
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/backend/BackendCallTest.java
@@ -1,6 +1,7 @@
 package org.verbenamast.relay.backend;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -11,6 +12,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.verbenamast.core.admission.ServerLoad;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -148,6 +150,21 @@
         assertThat(new Call().run().end).isEqualTo("broken");
     }
 
+    @Test
+    void should_report_the_load_of_the_server_when_it_refuses() throws IOException {
+        // given
+        String refusal = "HTTP/1.1 503 Full\r\nX-Verbenamast-Not-Executed: 1\r\nX-Verbenamast-Attempt-Id: attempt-1\r\n"
+                + "X-Verbenamast-Server-Load: 3,1,4,250\r\nContent-Length: 0\r\n\r\n";
+        serve((number, out) -> out.write(refusal.getBytes(StandardCharsets.US_ASCII)));
+
+        // when
+        Call call = new Call().run();
+
+        // then
+        assertThat(call.end).isEqualTo("not run");
+        assertThat(call.load).isEqualTo(new ServerLoad(3, 1, 4, 250));
+    }
+
     /** Guards against a call that keeps or waits for what is no answer to it, without end. */
     @ParameterizedTest
     @ValueSource(
--- a/verbenamast-relay/src/test/java/org/verbenamast/relay/backend/BackendFixture.java
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/backend/BackendFixture.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import org.junit.jupiter.api.AfterEach;
 import org.verbenamast.core.admission.AdmissionRequest;
+import org.verbenamast.core.admission.ServerLoad;
 import org.verbenamast.core.manifest.RequestKind;
 import org.verbenamast.core.model.Address;
 import org.verbenamast.core.node.Timing;
@@ -131,6 +132,7 @@
         final BackendCall call;
         String end = "";
         int status;
+        ServerLoad load;
         boolean hasRoom = true;
 
         Call() {
@@ -197,6 +199,11 @@
             end("not run");
         }
 
+        @Override
+        public void onServerLoad(ServerLoad reported) {
+            load = reported;
+        }
+
         @Override
         public void onAnswerHead(HttpResponse head, long length) {
             status = head.status().code();
