Large bodies are sent once admission has accepted the request, and as many as the link carries

Cause: on a narrow link (11 Mbit/s) the bodies of uploads were sent together with the request, whatever the gate decided. Change: an entry node sends a large body after ACCEPTED; a gate accepts as many at once as occupy its link for 100 ms; the others wait in the order of the queue or are refused. A body that takes longer than 300 ms arrives at its sender's pace and no longer counts. A link on which nothing of a body was sent is reused after a refusal.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionConditions.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionConditions.java
@@ -7,6 +7,7 @@
 final class AdmissionConditions {
 
     private final AdmissionRules rules;
+    private final ColdWindow coldWindow = new ColdWindow();
     private Optional<ServerStatus> server = Optional.empty();
     private boolean stopping;
     private boolean closed;
@@ -47,6 +48,20 @@
                 .isPresent();
     }
 
+    /** Returns whether the server is not cold, or may get one more request now although it is. */
+    boolean allowsCold(long now) {
+        return !isCold(now) || coldWindow.allows(server.get().coldPerSecond(), now);
+    }
+
+    void recordDispatch(long now) {
+        coldWindow.recordDispatch(now);
+    }
+
+    /** Returns when a cold server may get another request, in nanoseconds of the monotonic clock. */
+    long nextColdExpiry() {
+        return coldWindow.nextExpiry();
+    }
+
     /** Returns why a request may not be dispatched whatever the load, or empty if it may. */
     Optional<Refusal> findRefusal(AdmissionRequest request, long now) {
         if (server.isEmpty() || !server.get().incarnation().equals(request.incarnation())) {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionController.java
@@ -33,22 +33,13 @@
                     AdmissionTimer.class,
                     AdmissionTag.class);
 
-    /** Longest wait while the sender can ask other servers, as a ratio of the spare time until the objective. */
-    private static final double OBJECTIVE_WAIT_RATIO = 0.4;
-    /** Longest wait when the sender has no other server to ask, as a ratio of the spare time until the deadline. */
-    private static final double DEADLINE_WAIT_RATIO = 0.6;
-
-    /** Time after which a request is sent again that a server with room has rejected, in milliseconds. */
-    private static final double MIN_REJECTED_RETRY_MILLIS = 25;
-
     private final ChartInstances<Long, AdmissionEvent, AdmissionData, AdmissionInput> requests;
     private final AdmissionConditions conditions;
     private final ServerCapacity capacity = new ServerCapacity();
     private final UsefulShare usefulShare = new UsefulShare();
-    private final ColdWindow coldWindow = new ColdWindow();
     private final ServiceTimes serviceTimes = new ServiceTimes();
-    private final TransferLimit transfers = new TransferLimit(serviceTimes);
-    private final QueueDiscipline discipline = new QueueDiscipline(serviceTimes, transfers);
+    private final LinkLimits links = new LinkLimits(serviceTimes);
+    private final QueueDiscipline discipline = new QueueDiscipline(serviceTimes, links);
     /** The queued requests by number, kept up to date by the transitions of the chart. */
     private final Map<Long, AdmissionRequest> queued = new LinkedHashMap<>();
 
@@ -69,12 +60,12 @@
                 ChartReader.bundled("gate-request", VOCABULARY),
                 event -> AdmissionInput.NONE,
                 (chart, subject, event, transition, now) -> {
-                    recordTransition((Long) subject, transition);
+                    recordTransition((Long) subject, transition, now);
                     listener.onTransition(chart, subject, event, transition, now);
                 });
     }
 
-    private void recordTransition(Long id, Transition<?, ?> transition) {
+    private void recordTransition(Long id, Transition<?, ?> transition, long now) {
         if (transition.to() == null) {
             return;
         }
@@ -82,9 +73,12 @@
         running -= transition.from().hasTag(AdmissionTag.RUNNING) ? 1 : 0;
         recordMembership(queued, transition.to().hasTag(AdmissionTag.WAITING), id);
         recordMembership(awaitingKey, transition.to().hasTag(AdmissionTag.AWAITING_KEY), id);
-        boolean inFlight =
-                transition.to().hasTag(AdmissionTag.RUNNING) || transition.to().hasTag(AdmissionTag.SENDING);
-        transfers.record(id, inFlight && requests.find(id).data().request().hasLargeAnswer());
+        boolean isRunning = transition.to().hasTag(AdmissionTag.RUNNING);
+        boolean inFlight = isRunning || transition.to().hasTag(AdmissionTag.SENDING);
+        links.answers()
+                .record(id, inFlight && requests.find(id).data().request().hasLargeAnswer());
+        links.bodies()
+                .record(id, isRunning && requests.find(id).data().request().hasLargeBody(), now);
     }
 
     private void recordMembership(Map<Long, AdmissionRequest> members, boolean isMember, Long id) {
@@ -155,30 +149,25 @@
                     ? AdmissionInput.of(AdmissionInput.Verdict.AWAIT_KEY)
                     : AdmissionInput.refused(refusal.get(), 0);
         }
-        if (hasRoom(now)
-                && transfers.allows(request)
-                && queued.values().stream().noneMatch(transfers::allows)) {
+        if (hasRoom(now) && links.allows(request) && queued.values().stream().noneMatch(links::allows)) {
             recordDispatch(true, now);
             return AdmissionInput.of(AdmissionInput.Verdict.DISPATCH);
         }
         double waitMillis = expectedWaitMillis(request, now);
-        if (waitMillis <= maxWaitMillis(request, now)) {
+        if (waitMillis <= discipline.maxWaitMillis(request, now)) {
             return AdmissionInput.of(AdmissionInput.Verdict.QUEUE);
         }
         return AdmissionInput.refused(conditions.isCold(now) ? Refusal.COLD : Refusal.FULL, (long) waitMillis);
     }
 
     private void recordDispatch(boolean isLeftOver, long now) {
-        coldWindow.recordDispatch(now);
+        conditions.recordDispatch(now);
         discipline.recordDispatch(isLeftOver);
     }
 
     private boolean hasRoom(long now) {
-        if (running >= usableSlots(now)) {
-            return false;
-        }
-        return !conditions.isCold(now)
-                || coldWindow.allows(conditions.server().get().coldPerSecond(), now);
+        links.bodies().forgetSlow(now);
+        return running < usableSlots(now) && conditions.allowsCold(now);
     }
 
     private int usableSlots(long now) {
@@ -200,12 +189,6 @@
                 waitMillis, (ahead + 1) * 1_000 / conditions.server().get().coldPerSecond());
     }
 
-    private double maxWaitMillis(AdmissionRequest request, long now) {
-        double ratio = request.lastChance() ? DEADLINE_WAIT_RATIO : OBJECTIVE_WAIT_RATIO;
-        long until = request.lastChance() ? request.deadlineAt() : request.objectiveAt();
-        return ratio * discipline.spareMillis(until, request, now);
-    }
-
     /**
      * Handles the end of a request at the server: the server answered, or its connection broke.
      *
@@ -232,7 +215,19 @@
     }
 
     /**
-     * Handles the load that the server reports with an answer.
+     * Handles that all of a request's body has arrived.
+     *
+     * @param id the request's number
+     * @param now the monotonic time, in nanoseconds
+     * @param effects receives the effects
+     */
+    public void onBodyReceived(long id, long now, Effects effects) {
+        links.bodies().recordArrival(id, now);
+        dispatchWaiting(now, effects);
+    }
+
+    /**
+     * Handles a report of the server's load, which comes with an answer.
      *
      * @param load the load
      * @param now the monotonic time, in nanoseconds
@@ -248,8 +243,7 @@
      */
     public long rejectedRetryMillis() {
         double slotMillis = serviceTimes.millis() / Math.max(1, conditions.slots());
-        double waitMillis = capacity.isFull() ? slotMillis * (1 + queued.size()) : MIN_REJECTED_RETRY_MILLIS;
-        return (long) (waitMillis * usefulShare.sendsPerAnswer());
+        return (long) (capacity.retryMillis(slotMillis * (1 + queued.size())) * usefulShare.sendsPerAnswer());
     }
 
     /**
@@ -264,7 +258,7 @@
         if (instance == null || !instance.hasTag(AdmissionTag.SENDING)) {
             return;
         }
-        transfers.recordReceipt(instance.data().answeredAt(), now);
+        links.answers().recordReceipt(instance.data().answeredAt(), now);
         requests.fire(id, AdmissionEvent.RECEIVED, AdmissionInput.NONE, now, effects);
         dispatchWaiting(now, effects);
     }
@@ -323,7 +317,7 @@
     private Optional<AdmissionRequest> nextToDispatch(long now) {
         return queued.isEmpty() || !hasRoom(now)
                 ? Optional.empty()
-                : queued.values().stream().filter(transfers::allows).min(discipline.order(now));
+                : queued.values().stream().filter(links::allows).min(discipline.order(now));
     }
 
     /**
@@ -351,14 +345,18 @@
     }
 
     /**
-     * Returns when the next timer is due or, if only the cold limit delays a request, when the limit allows it.
+     * Returns when the next timer is due or, if the cold limit or the link alone delays a request, when they allow it.
      *
      * @return the monotonic time, in nanoseconds, at which {@link #advance} has work to do
      */
     public long nextDue() {
-        boolean delayedByCold =
-                running < conditions.slots() && queued.values().stream().anyMatch(transfers::allows);
-        return delayedByCold ? Math.min(requests.nextDue(), coldWindow.nextExpiry()) : requests.nextDue();
+        if (queued.isEmpty() || running >= conditions.slots()) {
+            return requests.nextDue();
+        }
+        boolean delayedByCold = queued.values().stream().anyMatch(links::allows);
+        return Math.min(
+                requests.nextDue(),
+                delayedByCold ? conditions.nextColdExpiry() : links.bodies().nextExpiry());
     }
 
     /**
@@ -384,7 +382,7 @@
      * @return the time, in milliseconds, as a moving average; 0 before the first large answer
      */
     public double transferMillis() {
-        return transfers.millis();
+        return links.answers().millis();
     }
 
     /**
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionRequest.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionRequest.java
@@ -50,4 +50,8 @@
     boolean hasLargeAnswer() {
         return kind.hasLargeAnswers();
     }
+
+    boolean hasLargeBody() {
+        return kind.hasLargeBodies();
+    }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/QueueDiscipline.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/QueueDiscipline.java
@@ -23,18 +23,23 @@
     /** Smallest share of dispatches left over that is assumed, so that waits stay finite. */
     private static final double MIN_LEFT_OVER = 0.01;
 
+    /** Longest wait while the sender can ask other servers, as a ratio of the spare time until the objective. */
+    private static final double OBJECTIVE_WAIT_RATIO = 0.4;
+    /** Longest wait when the sender has no other server to ask, as a ratio of the spare time until the deadline. */
+    private static final double DEADLINE_WAIT_RATIO = 0.6;
+
     private final ServiceTimes serviceTimes;
-    private final TransferLimit transfers;
+    private final LinkLimits links;
     private double leftOver = 1;
 
-    QueueDiscipline(ServiceTimes serviceTimes, TransferLimit transfers) {
+    QueueDiscipline(ServiceTimes serviceTimes, LinkLimits links) {
         this.serviceTimes = Objects.requireNonNull(serviceTimes, "serviceTimes");
-        this.transfers = Objects.requireNonNull(transfers, "transfers");
+        this.links = Objects.requireNonNull(links, "links");
     }
 
     /** Returns how long it takes from the dispatch of a request until its sender has the answer, in milliseconds. */
     double answerMillis(AdmissionRequest request) {
-        return serviceTimes.millis(request.route()) + transfers.millis(request);
+        return serviceTimes.millis(request.route()) + links.answerMillis(request);
     }
 
     /** Returns the order of dispatch: by priority, then requests that are not overtaken, then by what is due first. */
@@ -75,7 +80,7 @@
     double waitMillis(AdmissionRequest request, Collection<AdmissionRequest> queued, int slots, long now) {
         List<AdmissionRequest> ahead = ahead(request, queued, now);
         int overtakenAhead = countOvertaken(ahead, now);
-        double linkMillis = transfers.waitMillis(request, ahead);
+        double linkMillis = links.waitMillis(request, ahead);
         double waitMillis =
                 Math.max(linkMillis, slotMillis(isOvertaken(request, now), ahead.size(), overtakenAhead, slots));
         if (waitMillis <= spareMillis(request.objectiveAt(), request, now) || isShort(request)) {
@@ -85,6 +90,13 @@
         return Math.max(linkMillis, slotMillis(true, ahead.size() - overtakenAhead + overtaken, overtaken, slots));
     }
 
+    /** Returns how long a new request may wait to be worth queueing, in milliseconds. */
+    double maxWaitMillis(AdmissionRequest request, long now) {
+        double ratio = request.lastChance() ? DEADLINE_WAIT_RATIO : OBJECTIVE_WAIT_RATIO;
+        long until = request.lastChance() ? request.deadlineAt() : request.objectiveAt();
+        return ratio * spareMillis(until, request, now);
+    }
+
     private int countOvertaken(Collection<AdmissionRequest> requests, long now) {
         int count = 0;
         for (AdmissionRequest request : requests) {
@@ -122,7 +134,7 @@
         for (AdmissionRequest request : ordered) {
             boolean isOvertaken = isOvertaken(request, now);
             double waitMillis = Math.max(
-                    transfers.waitMillis(request, ahead), slotMillis(isOvertaken, ahead.size(), overtakenAhead, slots));
+                    links.waitMillis(request, ahead), slotMillis(isOvertaken, ahead.size(), overtakenAhead, slots));
             if (isOvertaken && waitMillis > spareMillis(request.deadlineAt(), request, now)) {
                 hopeless.add(request);
                 continue;
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/ServerCapacity.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/ServerCapacity.java
@@ -8,6 +8,9 @@
  */
 final class ServerCapacity {
 
+    /** Time after which a request is sent again that a server with room has rejected, in milliseconds. */
+    private static final double MIN_REJECTED_RETRY_MILLIS = 25;
+
     private ServerLoad reported;
     private int lastExcess;
     private int uncounted;
@@ -52,8 +55,8 @@
         return outdated ? slots : Math.max(1, slots - uncounted);
     }
 
-    /** Returns whether the server was full by its last report. */
-    boolean isFull() {
-        return reported != null && reported.isFull();
+    /** Returns when to send a rejected request again, given the wait if all slots are busy; in milliseconds. */
+    double retryMillis(double waitMillis) {
+        return reported != null && reported.isFull() ? waitMillis : MIN_REJECTED_RETRY_MILLIS;
     }
 }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
@@ -96,7 +96,7 @@
             replayable = false;
             loop.run((now, effects) -> core.entry().onBodyDropped(request.id(), now, effects));
         }
-        if (attempt != null && attempt.connected()) {
+        if (attempt != null && attempt.connected() && takesBody()) {
             attempt.body(bytes);
         }
         open();
@@ -110,11 +110,16 @@
     void endBody() {
         bodyEnded = true;
         open();
-        if (attempt != null && attempt.connected()) {
+        if (attempt != null && attempt.connected() && takesBody()) {
             attempt.endBody();
         }
     }
 
+    /** Returns whether the body is sent now; a large one would be sent in vain to a node that refuses the request. */
+    private boolean takesBody() {
+        return accepted() || !request.route().kind().hasLargeBodies();
+    }
+
     /** Returns a promise that completes once more of the request's body can be accepted. */
     Promise<Void> bodyRoom() {
         if (!accepted() && replayBuffer.size() >= MAX_REPLAY_BYTES) {
@@ -201,6 +206,12 @@
 
     @Override
     public void onHeadSent() {
+        if (takesBody()) {
+            sendBody();
+        }
+    }
+
+    private void sendBody() {
         attempt.body(replayBuffer.toByteArray());
         if (bodyEnded) {
             attempt.endBody();
@@ -214,6 +225,9 @@
 
     @Override
     public void onAccepted() {
+        if (attempt != null && request.route().kind().hasLargeBodies()) {
+            sendBody();
+        }
         connection.onAccepted();
     }
 
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/RelayAttempt.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/RelayAttempt.java
@@ -61,6 +61,7 @@
     private final Observer observer;
     private FrameLink link;
     private boolean accepted;
+    private boolean bodyBegun;
     private boolean bodyEnded;
     private boolean ended;
 
@@ -105,6 +106,7 @@
 
     void body(byte[] bytes) {
         if (!ended && bytes.length > 0) {
+            bodyBegun = true;
             link.send(
                     RelayFrame.newBuilder().setData(ByteString.copyFrom(bytes)).build());
         }
@@ -169,10 +171,10 @@
         }
     }
 
-    /** Returns the link to the pool if the whole request was sent; otherwise the link can't be reused and is closed. */
+    /** Returns the link to the pool unless part of a body was sent; then the link can't be reused and is closed. */
     private void finish() {
         ended = true;
-        if (bodyEnded) {
+        if (bodyEnded || !bodyBegun) {
             pool.release(address, link);
         } else {
             link.close();
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateServer.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateServer.java
@@ -227,7 +227,9 @@
 
         private void end() {
             if (exchange != null) {
+                long id = exchange.id();
                 exchange.endBody();
+                loop.run((now, effects) -> core.admission().onBodyReceived(id, now, effects));
             }
         }
 
