--- a/verbenamast-relay/src/test/java/org/verbenamast/relay/caller/CallerFixture.java
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/caller/CallerFixture.java
@@ -113,8 +113,11 @@
 
     /** Puts a manifest with one route, to a service whose keys are divided among its servers or not. */
     void putManifest(long version, boolean keyed) {
-        Route route = new Route(
-                "r", "shop", "/", RequestKind.SAFE, 60_000, 30_000, 1, 3, false, List.of(new Split("stock", 1)));
+        putManifest(version, keyed, RequestKind.SAFE);
+    }
+
+    void putManifest(long version, boolean keyed, RequestKind kind) {
+        Route route = new Route("r", "shop", "/", kind, 60_000, 30_000, 1, 3, false, List.of(new Split("stock", 1)));
         ServiceRules rules = new ServiceRules("stock", 10, 0, keyed);
         RequestLimits limits = new RequestLimits(16_384, 64 * 1024 * 1024, 60_000, 60_000);
         core.manifest(new Manifest(version, List.of(route), List.of(rules), limits, List.of()), 0, effect -> {});
