--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionController.java
@@ -13,6 +13,7 @@
 import org.verbenamast.core.chart.Vocabulary;
 import org.verbenamast.core.chart.file.ChartReader;
 import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.model.ServerLoad;
 import org.verbenamast.core.node.Timing;
 
 /**
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/ServerCapacity.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/ServerCapacity.java
@@ -1,5 +1,6 @@
 package org.verbenamast.core.admission;
 
+import org.verbenamast.core.model.ServerLoad;
 import org.verbenamast.core.node.Timing;
 
 /**
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/ServerLoad.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/model/ServerLoad.java
@@ -1,4 +1,4 @@
-package org.verbenamast.core.admission;
+package org.verbenamast.core.model;
 
 import org.verbenamast.core.check.Checks;
 
@@ -23,7 +23,12 @@
         Checks.positive("pacePercent", pacePercent);
     }
 
-    boolean isFull() {
+    /**
+     * Returns whether no slot is free.
+     *
+     * @return whether as many requests run as the server has slots
+     */
+    public boolean isFull() {
         return running >= slots;
     }
 }
--- a/verbenamast-core/src/test/java/org/verbenamast/core/admission/ServerReportTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/admission/ServerReportTest.java
@@ -5,6 +5,7 @@
 import java.util.OptionalInt;
 
 import org.junit.jupiter.api.Test;
+import org.verbenamast.core.model.ServerLoad;
 import org.verbenamast.core.node.Timing;
 
 import static org.assertj.core.api.Assertions.assertThat;
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/backend/BackendCall.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/backend/BackendCall.java
@@ -17,7 +17,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import org.verbenamast.core.admission.AdmissionRequest;
-import org.verbenamast.core.admission.ServerLoad;
+import org.verbenamast.core.model.ServerLoad;
 import org.verbenamast.core.node.Timing;
 import org.verbenamast.platform.RequestFields;
 import org.verbenamast.platform.ServerLoadField;
--- a/verbenamast-relay/src/test/java/org/verbenamast/relay/backend/BackendCallTest.java
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/backend/BackendCallTest.java
@@ -12,7 +12,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.verbenamast.core.admission.ServerLoad;
+import org.verbenamast.core.model.ServerLoad;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
