--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionController.java
@@ -4,17 +4,16 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 
 import org.verbenamast.core.chart.ChartInstances;
-import org.verbenamast.core.chart.ChartState;
 import org.verbenamast.core.chart.Instance;
 import org.verbenamast.core.chart.Transition;
 import org.verbenamast.core.chart.TransitionListener;
 import org.verbenamast.core.chart.Vocabulary;
 import org.verbenamast.core.chart.file.ChartReader;
 import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.model.ServerLoad;
 import org.verbenamast.core.node.Timing;
 
 /**
@@ -35,17 +34,13 @@
                     AdmissionTimer.class,
                     AdmissionTag.class);
 
-    /** Longest wait while the sender can ask other servers, as a ratio of the spare time until the objective. */
-    private static final double OBJECTIVE_WAIT_RATIO = 0.4;
-    /** Longest wait when the sender has no other server to ask, as a ratio of the spare time until the deadline. */
-    private static final double DEADLINE_WAIT_RATIO = 0.6;
-
     private final ChartInstances<Long, AdmissionEvent, AdmissionData, AdmissionInput> requests;
-    private final AdmissionRules rules;
-    private final ColdWindow coldWindow = new ColdWindow();
+    private final AdmissionConditions conditions;
+    private final ServerCapacity capacity = new ServerCapacity();
+    private final UsefulShare usefulShare = new UsefulShare();
     private final ServiceTimes serviceTimes = new ServiceTimes();
-    private final TransferLimit transfers = new TransferLimit(serviceTimes);
-    private final QueueDiscipline discipline = new QueueDiscipline(serviceTimes, transfers);
+    private final LinkLimits links = new LinkLimits(serviceTimes);
+    private final QueueDiscipline discipline = new QueueDiscipline(serviceTimes, links);
     /** The queued requests by number, kept up to date by the transitions of the chart. */
     private final Map<Long, AdmissionRequest> queued = new LinkedHashMap<>();
 
@@ -53,9 +48,6 @@
     private final Map<Long, AdmissionRequest> awaitingKey = new LinkedHashMap<>();
 
     private int running;
-    private Optional<ServerStatus> server = Optional.empty();
-    private boolean stopping;
-    private boolean closed;
 
     /**
      * Creates a controller that has no server yet.
@@ -64,26 +56,30 @@
      * @param listener notified of each transition of a request
      */
     public AdmissionController(AdmissionRules rules, TransitionListener listener) {
-        this.rules = Objects.requireNonNull(rules, "rules");
+        this.conditions = new AdmissionConditions(rules);
         this.requests = new ChartInstances<>(
                 ChartReader.bundled("gate-request", VOCABULARY),
                 event -> AdmissionInput.NONE,
                 (chart, subject, event, transition, now) -> {
-                    recordTransition((Long) subject, transition);
+                    recordTransition((Long) subject, transition, now);
                     listener.onTransition(chart, subject, event, transition, now);
                 });
     }
 
-    private void recordTransition(Long id, Transition<?, ?> transition) {
+    private void recordTransition(Long id, Transition<?, ?> transition, long now) {
         if (transition.to() == null) {
             return;
         }
-        running += isTagged(transition.to(), AdmissionTag.RUNNING) - isTagged(transition.from(), AdmissionTag.RUNNING);
+        running += transition.to().hasTag(AdmissionTag.RUNNING) ? 1 : 0;
+        running -= transition.from().hasTag(AdmissionTag.RUNNING) ? 1 : 0;
         recordMembership(queued, transition.to().hasTag(AdmissionTag.WAITING), id);
         recordMembership(awaitingKey, transition.to().hasTag(AdmissionTag.AWAITING_KEY), id);
-        boolean inFlight =
-                transition.to().hasTag(AdmissionTag.RUNNING) || transition.to().hasTag(AdmissionTag.SENDING);
-        transfers.record(id, inFlight && requests.find(id).data().request().hasLargeAnswer());
+        boolean isRunning = transition.to().hasTag(AdmissionTag.RUNNING);
+        boolean inFlight = isRunning || transition.to().hasTag(AdmissionTag.SENDING);
+        links.answers()
+                .record(id, inFlight && requests.find(id).data().request().hasLargeAnswer());
+        links.bodies()
+                .record(id, isRunning && requests.find(id).data().request().hasLargeBody(), now);
     }
 
     private void recordMembership(Map<Long, AdmissionRequest> members, boolean isMember, Long id) {
@@ -94,10 +90,6 @@
         }
     }
 
-    private static int isTagged(ChartState state, AdmissionTag tag) {
-        return state.hasTag(tag) ? 1 : 0;
-    }
-
     /**
      * Applies a new status of the server and refuses queued requests that the server can no longer serve.
      *
@@ -106,7 +98,9 @@
      * @param effects receives the effects
      */
     public void onServerStatus(Optional<ServerStatus> status, long now, Effects effects) {
-        this.server = status;
+        if (conditions.recordServer(status)) {
+            capacity.reset();
+        }
         reviewWaiting(now, effects);
     }
 
@@ -117,7 +111,7 @@
      * @param effects receives the effects
      */
     public void stop(long now, Effects effects) {
-        stopping = true;
+        conditions.recordStopping();
         reviewWaiting(now, effects);
     }
 
@@ -129,7 +123,7 @@
      * @param effects receives the effects
      */
     public void close(long now, Effects effects) {
-        closed = true;
+        conditions.recordClosed();
         reviewWaiting(now, effects);
     }
 
@@ -150,65 +144,35 @@
     }
 
     private AdmissionInput decide(AdmissionRequest request, long now) {
-        Optional<Refusal> refusal = findRefusal(request, now);
+        Optional<Refusal> refusal = conditions.findRefusal(request, now);
         if (refusal.isPresent()) {
-            return isKeyExpected(refusal.get(), request, now)
+            return conditions.isKeyExpected(refusal.get(), request, now)
                     ? AdmissionInput.of(AdmissionInput.Verdict.AWAIT_KEY)
                     : AdmissionInput.refused(refusal.get(), 0);
         }
-        if (hasRoom(now)
-                && transfers.allows(request)
-                && queued.values().stream().noneMatch(transfers::allows)) {
+        if (hasRoom(now) && links.allows(request) && queued.values().stream().noneMatch(links::allows)) {
             recordDispatch(true, now);
             return AdmissionInput.of(AdmissionInput.Verdict.DISPATCH);
         }
         double waitMillis = expectedWaitMillis(request, now);
-        if (waitMillis <= maxWaitMillis(request, now)) {
+        if (waitMillis <= discipline.maxWaitMillis(request, now)) {
             return AdmissionInput.of(AdmissionInput.Verdict.QUEUE);
         }
-        return AdmissionInput.refused(isCold(now) ? Refusal.COLD : Refusal.FULL, (long) waitMillis);
-    }
-
-    private boolean isKeyExpected(Refusal refusal, AdmissionRequest request, long now) {
-        return refusal == Refusal.NOT_OWNER && rules.isExpected(request.key().orElseThrow(), now);
+        return AdmissionInput.refused(conditions.isCold(now) ? Refusal.COLD : Refusal.FULL, (long) waitMillis);
     }
 
     private void recordDispatch(boolean isLeftOver, long now) {
-        coldWindow.recordDispatch(now);
+        conditions.recordDispatch(now);
         discipline.recordDispatch(isLeftOver);
     }
 
-    private Optional<Refusal> findRefusal(AdmissionRequest request, long now) {
-        if (server.isEmpty() || !server.get().incarnation().equals(request.incarnation())) {
-            return Optional.of(Refusal.WRONG_SERVER);
-        }
-        ServerStatus status = server.get();
-        boolean keyed = request.key().isPresent();
-        if (status.isLeaving() && (!keyed || now >= status.keyedUntil())) {
-            return Optional.of(Refusal.LEAVING);
-        }
-        if (closed || stopping && !keyed) {
-            return Optional.of(Refusal.STOPPING);
-        }
-        if (rules.isEvacuated(keyed, now)) {
-            return Optional.of(Refusal.EVACUATED);
-        }
-        if (keyed && !rules.isGranted(request.key().getAsInt(), now)) {
-            return Optional.of(Refusal.NOT_OWNER);
-        }
-        return rules.isSuspect(request.id(), now) ? Optional.of(Refusal.SUSPECT) : Optional.empty();
-    }
-
-    private boolean isCold(long now) {
-        return server.filter(status -> now < status.coldUntil() && status.coldPerSecond() > 0)
-                .isPresent();
+    private boolean hasRoom(long now) {
+        links.bodies().forgetSlow(now);
+        return running < usableSlots(now) && conditions.allowsCold(now);
     }
 
-    private boolean hasRoom(long now) {
-        if (server.isEmpty() || running >= server.get().slots()) {
-            return false;
-        }
-        return !isCold(now) || coldWindow.allows(server.get().coldPerSecond(), now);
+    private int usableSlots(long now) {
+        return conditions.server().isEmpty() ? 0 : capacity.usableSlots(conditions.slots(), serviceTimes.millis(), now);
     }
 
     /**
@@ -217,34 +181,30 @@
      * limited rate.
      */
     private double expectedWaitMillis(AdmissionRequest request, long now) {
-        double waitMillis =
-                discipline.waitMillis(request, queued.values(), server.get().slots(), now);
-        if (!isCold(now)) {
+        double waitMillis = discipline.waitMillis(request, queued.values(), conditions.slots(), now);
+        if (!conditions.isCold(now)) {
             return waitMillis;
         }
         int ahead = discipline.ahead(request, queued.values(), now).size();
-        return Math.max(waitMillis, (ahead + 1) * 1_000 / server.get().coldPerSecond());
-    }
-
-    private double maxWaitMillis(AdmissionRequest request, long now) {
-        double ratio = request.lastChance() ? DEADLINE_WAIT_RATIO : OBJECTIVE_WAIT_RATIO;
-        long until = request.lastChance() ? request.deadlineAt() : request.objectiveAt();
-        return ratio * discipline.spareMillis(until, request, now);
+        return Math.max(
+                waitMillis, (ahead + 1) * 1_000 / conditions.server().get().coldPerSecond());
     }
 
     /**
      * Handles the end of a request at the server: the server answered, or its connection broke.
      *
      * @param id the request's number
-     * @param answered whether the server answered, so that the elapsed time counts as a service time
+     * @param outcome how it ended
      * @param now the monotonic time, in nanoseconds
      * @param effects receives the effects
      */
-    public void onFinished(long id, boolean answered, long now, Effects effects) {
+    public void onFinished(long id, ServerOutcome outcome, long now, Effects effects) {
         Instance<AdmissionData> instance = requests.find(id);
         if (instance == null) {
             return;
         }
+        usefulShare.record(outcome);
+        boolean answered = outcome.hasServiceTime();
         if (answered && instance.hasTag(AdmissionTag.RUNNING)) {
             serviceTimes.add(
                     instance.data().request().route(), now - instance.data().startedAt());
@@ -255,6 +215,38 @@
         refuseHopeless(now, effects);
     }
 
+    /**
+     * Handles that all of a request's body has arrived.
+     *
+     * @param id the request's number
+     * @param now the monotonic time, in nanoseconds
+     * @param effects receives the effects
+     */
+    public void onBodyReceived(long id, long now, Effects effects) {
+        links.bodies().recordArrival(id, now);
+        dispatchWaiting(now, effects);
+    }
+
+    /**
+     * Handles a report of the server's load, which comes with an answer.
+     *
+     * @param load the load
+     * @param now the monotonic time, in nanoseconds
+     */
+    public void onServerLoad(ServerLoad load, long now) {
+        capacity.record(load, running, now);
+    }
+
+    /**
+     * Returns when the sender of a request that the server has rejected may send it again.
+     *
+     * @return the time in which it is expected to be accepted, in milliseconds
+     */
+    public long rejectedRetryMillis() {
+        double slotMillis = serviceTimes.millis() / Math.max(1, conditions.slots());
+        return (long) (capacity.retryMillis(slotMillis * (1 + queued.size())) * usefulShare.sendsPerAnswer());
+    }
+
     /**
      * Handles that the sender has received all of a large answer; ignored if it is not known to be on its way.
      *
@@ -267,7 +259,7 @@
         if (instance == null || !instance.hasTag(AdmissionTag.SENDING)) {
             return;
         }
-        transfers.recordReceipt(instance.data().answeredAt(), now);
+        links.answers().recordReceipt(instance.data().answeredAt(), now);
         requests.fire(id, AdmissionEvent.RECEIVED, AdmissionInput.NONE, now, effects);
         dispatchWaiting(now, effects);
     }
@@ -293,7 +285,7 @@
             }
         }
         for (AdmissionRequest request : List.copyOf(queued.values())) {
-            Optional<Refusal> refusal = findRefusal(request, now);
+            Optional<Refusal> refusal = conditions.findRefusal(request, now);
             if (refusal.isPresent()) {
                 requests.fire(
                         request.id(), AdmissionEvent.REJECTED, AdmissionInput.refused(refusal.get(), 0), now, effects);
@@ -305,11 +297,10 @@
 
     /** Refuses the queued requests that later ones keep overtaking until it is too late to answer them. */
     private void refuseHopeless(long now, Effects effects) {
-        if (server.isEmpty() || queued.isEmpty()) {
+        if (conditions.server().isEmpty() || queued.isEmpty()) {
             return;
         }
-        for (AdmissionRequest request :
-                discipline.hopeless(queued.values(), server.get().slots(), now)) {
+        for (AdmissionRequest request : discipline.hopeless(queued.values(), conditions.slots(), now)) {
             AdmissionInput input = AdmissionInput.refused(Refusal.FULL, (long) expectedWaitMillis(request, now));
             requests.fire(request.id(), AdmissionEvent.REJECTED, input, now, effects);
         }
@@ -327,7 +318,7 @@
     private Optional<AdmissionRequest> nextToDispatch(long now) {
         return queued.isEmpty() || !hasRoom(now)
                 ? Optional.empty()
-                : queued.values().stream().filter(transfers::allows).min(discipline.order(now));
+                : queued.values().stream().filter(links::allows).min(discipline.order(now));
     }
 
     /**
@@ -355,15 +346,18 @@
     }
 
     /**
-     * Returns when the next timer is due or, if only the cold limit delays a request, when the limit allows it.
+     * Returns when the next timer is due or, if the cold limit or the link alone delays a request, when they allow it.
      *
      * @return the monotonic time, in nanoseconds, at which {@link #advance} has work to do
      */
     public long nextDue() {
-        boolean delayedByCold =
-                server.filter(status -> running < status.slots()).isPresent()
-                        && queued.values().stream().anyMatch(transfers::allows);
-        return delayedByCold ? Math.min(requests.nextDue(), coldWindow.nextExpiry()) : requests.nextDue();
+        if (queued.isEmpty() || running >= conditions.slots()) {
+            return requests.nextDue();
+        }
+        boolean delayedByCold = queued.values().stream().anyMatch(links::allows);
+        return Math.min(
+                requests.nextDue(),
+                delayedByCold ? conditions.nextColdExpiry() : links.bodies().nextExpiry());
     }
 
     /**
@@ -373,9 +367,14 @@
      * @return the load, as it is reported to senders
      */
     public AdmissionLoad load(long now) {
-        int slots = server.map(ServerStatus::slots).orElse(0);
+        double serviceMillis = serviceTimes.millis() * usefulShare.sendsPerAnswer();
         return new AdmissionLoad(
-                running, queued.size(), slots, (int) Math.max(1, serviceTimes.millis()), isCold(now), stopping);
+                running,
+                queued.size(),
+                conditions.slots(),
+                (int) Math.max(1, serviceMillis),
+                conditions.isCold(now),
+                conditions.isStopping());
     }
 
     /**
@@ -384,7 +383,7 @@
      * @return the time, in milliseconds, as a moving average; 0 before the first large answer
      */
     public double transferMillis() {
-        return transfers.millis();
+        return links.answers().millis();
     }
 
     /**
