Pipelined requests run at once; splits follow their weights without chance

Cause: a caller's connection handled one request at a time, so that requests sent behind one another waited for the answers in front of them; the service of a split route was drawn at random, so that few requests strayed from the weights, and weights that are all zero sent everything to the last service.

Change: chart pipeline decides which requests of a connection begin before earlier ones are answered and which is the last; CallerReply keeps answers in the order of the requests; a connection ends its side and lingers before it is closed. ServiceRotation is smooth weighted round robin per route; a route whose weights are all zero is refused with 503. The endpoint's settings are a record, so two fixtures call its constructor anew.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/manifest/Route.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/manifest/Route.java
@@ -44,22 +44,4 @@
         splits = List.copyOf(splits);
         Checks.positive("splits", splits.size());
     }
-
-    /**
-     * Selects the service for a request at random, in proportion to the weights.
-     *
-     * @param random a uniformly distributed random number from 0 (inclusive) to 1 (exclusive)
-     * @return the service's name
-     */
-    public String selectService(double random) {
-        long total = splits.stream().mapToLong(Split::weight).sum();
-        double remaining = random * total;
-        for (Split split : splits) {
-            remaining -= split.weight();
-            if (remaining < 0) {
-                return split.service();
-            }
-        }
-        return splits.get(splits.size() - 1).service();
-    }
 }
--- a/verbenamast-ctl/src/main/java/org/verbenamast/ctl/ChartCommands.java
+++ b/verbenamast-ctl/src/main/java/org/verbenamast/ctl/ChartCommands.java
@@ -26,6 +26,7 @@
             "mark",
             "member",
             "notice-request",
+            "pipeline",
             "reading",
             "row-writer",
             "run",
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
@@ -35,6 +35,7 @@
 import org.verbenamast.core.watch.OperatorRow;
 import org.verbenamast.relay.backend.BackendPool;
 import org.verbenamast.relay.caller.CallerServer;
+import org.verbenamast.relay.caller.CallerSettings;
 import org.verbenamast.relay.peer.GateServer;
 import org.verbenamast.relay.peer.PeerNotifier;
 import org.verbenamast.relay.peer.PeerPool;
@@ -102,7 +103,9 @@
         this.store = new StoreClient(eventloop, settings.store(), this);
         this.peers = new PeerPool(eventloop);
         this.backend = new BackendPool(eventloop, settings.server());
-        this.callers = new CallerServer(eventloop, settings.callers(), settings.service(), core, loop, peers, counts);
+        CallerSettings callerSettings = new CallerSettings(
+                settings.callers(), settings.service(), settings.limits().clients());
+        this.callers = new CallerServer(eventloop, callerSettings, core, loop, peers, counts);
         this.gate = new GateServer(eventloop, settings.peers(), core, loop, backend, counts);
         this.front = new PlatformFront(
                 eventloop, settings, core, loop, new MetricsPage(core, counts), () -> !stop.isStopping());
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerConnection.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerConnection.java
@@ -1,15 +1,14 @@
 package org.verbenamast.relay.caller;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import java.util.Objects;
 
 import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.promise.Promise;
 import io.activej.reactor.Reactor;
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -22,38 +21,45 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
-import org.verbenamast.core.admission.Refusal;
-import org.verbenamast.platform.RequestFields;
+import org.verbenamast.core.client.pipeline.Pipeline;
+import org.verbenamast.core.client.pipeline.PipelineInput;
 import org.verbenamast.relay.RelayLoop;
 import org.verbenamast.relay.net.HttpCodec;
 import org.verbenamast.relay.net.RecurringSignal;
 import org.verbenamast.relay.net.SocketReader;
 import org.verbenamast.relay.net.SocketWriter;
-import org.verbenamast.wire.generated.RelayAnswer;
 
-/** A caller's HTTP connection. It handles one request at a time; pipelined requests wait. */
+/**
+ * A caller's HTTP connection. Carries out what the {@link Pipeline} decides: which requests are begun while earlier
+ * ones are unanswered, in which order answers are written, and when the connection ends.
+ */
 final class CallerConnection implements SocketReader.Handler, AutoCloseable {
 
-    private static final String HEAD = "HEAD";
+    /** Written directly: the codec would count it as the response to the request. */
+    private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+    /** Most bytes that are read while a request waits for earlier answers; reading on shows that the caller is gone. */
+    private static final int MAX_BACKLOG_BYTES = 32 * 1024;
 
     private final CallerServer server;
     private final ITcpSocket socket;
     private final HttpCodec codec;
     private final SocketWriter outflow;
     private final SocketReader inflow;
-    private final Deque<HttpObject> parts = new ArrayDeque<>();
-    private CallerExchange exchange;
-    private HttpRequest head;
-    private final RecurringSignal acceptance = new RecurringSignal();
-    private final RecurringSignal requestDone = new RecurringSignal();
-    private boolean answering;
-    private boolean bodyEnded = true;
-    private boolean closeAfterAnswer;
+    private final Pipeline pipeline;
+    private final Deque<CallerReply> replies = new ArrayDeque<>(1);
+    private final Deque<HttpObject> parts = new ArrayDeque<>(2);
+    private final Deque<byte[]> backlog = new ArrayDeque<>(0);
+    private final RecurringSignal backlogRead = new RecurringSignal();
+    private CallerReply receiving;
+    private int backlogBytes;
+    private boolean proceeding;
+    private boolean ended;
     private long idleSince = RelayLoop.now();
 
-    CallerConnection(CallerServer server, ITcpSocket socket, int maxHeadBytes) {
+    CallerConnection(CallerServer server, ITcpSocket socket, int maxHeadBytes, Pipeline pipeline) {
         this.server = Objects.requireNonNull(server, "server");
         this.socket = Objects.requireNonNull(socket, "socket");
+        this.pipeline = Objects.requireNonNull(pipeline, "pipeline");
         this.codec = HttpCodec.server(maxHeadBytes);
         this.outflow = new SocketWriter(Reactor.getCurrentReactor(), socket, () -> onEnd(false));
         this.inflow = new SocketReader(socket, this);
@@ -62,219 +68,244 @@
 
     /** Returns the time at which the connection became idle, in nanoseconds; {@code Long.MAX_VALUE} if busy. */
     long idleSince() {
-        return answering || !bodyEnded ? Long.MAX_VALUE : idleSince;
+        return pipeline.busy() || pipeline.sendsNoMore() || !parts.isEmpty() ? Long.MAX_VALUE : idleSince;
+    }
+
+    /** Closes the connection if the caller has had enough time to read the last answer. */
+    void advance(long now) {
+        pipeline.advance(now);
+        if (pipeline.ended()) {
+            onEnd(true);
+        }
     }
 
     @Override
     public Promise<Void> onBytes(byte[] bytes) {
-        codec.received(bytes);
-        for (HttpObject part = codec.next(); part != null; part = codec.next()) {
-            parts.add(part);
+        if (pipeline.lastKnown() && receiving == null) {
+            return Promise.complete();
         }
-        handleParts();
-        if (exchange != null && !bodyEnded) {
-            return exchange.bodyRoom();
+        backlog.add(bytes);
+        backlogBytes += bytes.length;
+        proceed();
+        if (!parts.isEmpty()) {
+            return backlogBytes < MAX_BACKLOG_BYTES ? Promise.complete() : backlogRead.next();
         }
-        // A pipelined request is already here: stop reading until the current request has been answered.
-        return parts.isEmpty() ? Promise.complete() : requestDone.next();
+        CallerExchange reading = receiving == null ? null : receiving.exchange();
+        return reading == null ? Promise.complete() : reading.bodyRoom();
     }
 
-    private void handleParts() {
-        while (!parts.isEmpty()) {
-            boolean nextRequest = parts.peek() instanceof HttpRequest;
-            if (nextRequest && answering) {
-                return;
+    /** Handles what has arrived and writes the answers that are due, in a loop: answers may be complete at once. */
+    private void proceed() {
+        if (proceeding || ended) {
+            return;
+        }
+        proceeding = true;
+        try {
+            while (!ended && step()) {
+                // Each step changes what the next one finds.
             }
-            handlePart(parts.poll());
+        } finally {
+            proceeding = false;
         }
     }
 
-    private void handlePart(HttpObject part) {
-        if (part.decoderResult().isFailure()) {
-            reject(part.decoderResult().cause());
-            return;
+    private boolean step() {
+        if (!replies.isEmpty() && replies.peek().complete()) {
+            finishFirst();
+            return true;
         }
+        if (!parts.isEmpty()) {
+            return handleNextPart();
+        }
+        return decodeBacklog();
+    }
+
+    private boolean decodeBacklog() {
+        byte[] bytes = backlog.poll();
+        if (bytes == null) {
+            backlogRead.fire();
+            return false;
+        }
+        backlogBytes -= bytes.length;
+        codec.received(bytes);
+        for (HttpObject part = codec.next(); part != null; part = codec.next()) {
+            parts.add(part);
+        }
+        return true;
+    }
+
+    private boolean handleNextPart() {
+        HttpObject part = parts.peek();
         if (part instanceof HttpRequest request) {
-            head = request;
-            bodyEnded = false;
-            answering = true;
-            closeAfterAnswer = !HttpUtil.isKeepAlive(request) || server.stopping();
-            if (HttpUtil.is100ContinueExpected(request)) {
-                outflow.write(codec.encode(new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER)));
-            }
-            server.begin(this, request);
+            return handleHead(request);
+        }
+        parts.poll();
+        if (part.decoderResult().isFailure()) {
+            reject(part);
+        } else if (part instanceof HttpContent content) {
+            handleBody(HttpCodec.bytes(content), part instanceof LastHttpContent);
+        }
+        return true;
+    }
+
+    private boolean handleHead(HttpRequest request) {
+        if (pipeline.lastKnown()) {
+            skipRest();
+            return false;
         }
-        if (part instanceof HttpContent content) {
-            boolean last = part instanceof LastHttpContent;
-            handleBody(HttpCodec.bytes(content), last);
+        boolean malformed = request.decoderResult().isFailure();
+        boolean last = malformed || !HttpUtil.isKeepAlive(request);
+        boolean persistent = malformed || request.protocolVersion().equals(HttpVersion.HTTP_1_1);
+        PipelineInput input = new PipelineInput(
+                persistent, last, () -> malformed || server.isRepeatable(request), heldBytes(), server.stopping());
+        if (!pipeline.begin(input, RelayLoop.now())) {
+            return false;
+        }
+        parts.poll();
+        CallerReply reply = new CallerReply(this, request);
+        replies.add(reply);
+        receiving = reply;
+        if (malformed) {
+            reject(request);
+        } else {
+            sendContinueIfAwaited(reply);
+            server.begin(reply, request);
+        }
+        return true;
+    }
+
+    /** Returns what is held for the connection's requests and their answers, in bytes. */
+    long heldBytes() {
+        long bytes = outflow.pendingBytes();
+        for (CallerReply reply : replies) {
+            bytes += reply.heldBytes();
         }
+        return bytes;
     }
 
-    /** Records the exchange of a new request before it is opened, because opening it may already end it. */
-    void setExchange(CallerExchange next) {
-        exchange = next;
+    /** Drops what follows the last request: it counts as not read. */
+    private void skipRest() {
+        parts.clear();
+        backlog.clear();
+        backlogBytes = 0;
+        backlogRead.fire();
     }
 
     private void handleBody(byte[] bytes, boolean last) {
-        bodyEnded = last;
-        if (!answering) {
-            closeIfLast();
-            return;
+        CallerReply reply = receiving;
+        if (last) {
+            endBody();
         }
+        CallerExchange exchange = reply == null ? null : reply.exchange();
         if (exchange == null) {
             return;
         }
         if (bytes.length > 0) {
             exchange.body(bytes);
         }
-        if (last && exchange != null) {
+        if (last && reply.exchange() == exchange) {
             exchange.endBody();
         }
     }
 
-    private void reject(Throwable cause) {
-        boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
-        closeAfterAnswer = true;
-        bodyEnded = true;
-        answer(tooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST, "");
-    }
-
-    /** Sends an answer of this node, without a body; {@code retryAfter} is the header's value, or empty for none. */
-    void answer(HttpResponseStatus status, String retryAfter) {
-        DefaultFullHttpResponse response =
-                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
-        if (head != null && head.headers().contains(RequestFields.ATTEMPT_ID)) {
-            response.headers().set(RequestFields.ATTEMPT_ID, head.headers().get(RequestFields.ATTEMPT_ID));
-        }
-        if (!retryAfter.isEmpty()) {
-            response.headers().set(RequestFields.RETRY_AFTER, retryAfter);
-        }
-        addCloseHeader(response);
-        outflow.write(codec.encode(response));
-        finish();
+    private void endBody() {
+        receiving = null;
+        pipeline.onBodyRead(RelayLoop.now());
+        idleSince = RelayLoop.now();
+        endIfAnswered();
     }
 
-    private void addCloseHeader(HttpResponse response) {
-        closeAfterAnswer = closeAfterAnswer || server.stopping();
-        if (closeAfterAnswer) {
-            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    private void reject(HttpObject part) {
+        Throwable cause = part.decoderResult().cause();
+        boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+        CallerReply reply = receiving;
+        if (reply == null) {
+            return;
         }
+        endBody();
+        reply.reject(tooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST);
     }
 
-    void refuse(Refusal reason, long retryAfterMillis) {
-        answer(HttpResponseStatus.SERVICE_UNAVAILABLE, RequestFields.retryAfter(retryAfterMillis));
-    }
-
-    void fail(boolean timedOut) {
-        answer(timedOut ? HttpResponseStatus.GATEWAY_TIMEOUT : HttpResponseStatus.BAD_GATEWAY, "");
+    /** Returns whether an answer is due, that is, all earlier requests are answered. */
+    boolean isFirst(CallerReply reply) {
+        return replies.peek() == reply;
     }
 
-    /** Sends the head of the server's answer; {@code wholeLength} is the length of its body in bytes, or -1. */
-    void beginAnswer(RelayAnswer answer, int wholeLength) {
-        HttpResponse response =
-                new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.getStatus()));
-        answer.getFieldsList().forEach(field -> response.headers().add(field.getName(), field.getValue()));
-        boolean noBody = HEAD.equals(head.method().name());
-        long length = wholeLength >= 0 && !noBody ? wholeLength : answer.getBodyLength();
-        if (length >= 0) {
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
-        } else if (head.protocolVersion().equals(HttpVersion.HTTP_1_1)) {
-            response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-        } else {
-            closeAfterAnswer = true;
+    /** Writes a part of the answer that is due. */
+    void send(CallerReply reply, HttpObject part) {
+        if (part instanceof HttpResponse head
+                && pipeline.beginAnswer(reply.last(), server.stopping(), RelayLoop.now())) {
+            head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        addCloseHeader(response);
-        outflow.write(codec.encode(response));
-    }
-
-    void sendAnswerBody(byte[] bytes) {
-        outflow.write(codec.encode(bytes));
+        outflow.write(codec.encode(part));
     }
 
-    void endAnswer() {
-        outflow.write(codec.encodeEnd());
-        CallerExchange sent = exchange;
-        exchange = null;
-        outflow.whenWritable().whenResult(() -> {
-            if (sent != null && server.onExchangeEnded(sent)) {
-                sent.onDelivered();
-            }
-        });
-        finish();
+    void sendContinueIfAwaited(CallerReply reply) {
+        if (isFirst(reply) && reply.takeAwaitsContinue()) {
+            outflow.write(CONTINUE);
+        }
     }
 
     Promise<Void> answerRoom() {
         return outflow.whenWritable();
     }
 
-    /**
-     * Closes the connection in the middle of an answer, so that the partial answer does not look complete. A request
-     * that followed it on the connection has lost its caller.
-     */
-    void cut(CallerExchange broken) {
-        server.onExchangeEnded(broken);
-        if (exchange == broken) {
-            exchange = null;
-        }
-        close();
-        server.onConnectionClosed(this);
-        if (exchange != null) {
-            // The decision that broke off the answer is still running; the loss of the caller is the next one.
-            Reactor.getCurrentReactor().post(() -> onEnd(false));
-        }
+    void onReplyComplete() {
+        proceed();
     }
 
-    private void detachExchange() {
-        if (exchange != null) {
-            server.onExchangeEnded(exchange);
-            exchange = null;
-        }
-    }
-
-    private void finish() {
-        detachExchange();
-        answering = false;
+    private void finishFirst() {
+        CallerReply done = replies.poll();
+        pipeline.onAnswered(RelayLoop.now());
         idleSince = RelayLoop.now();
-        onAccepted();
-        if (closeIfLast()) {
-            return;
-        }
-        handleParts();
-        if (parts.isEmpty()) {
-            requestDone.fire();
+        outflow.whenWritable().whenResult(done::onWritten);
+        CallerReply next = replies.peek();
+        if (next != null) {
+            next.onTurn();
         }
+        endIfAnswered();
     }
 
-    /** Closes the connection once the request is read and answered, if either side marked it as the last one. */
-    private boolean closeIfLast() {
-        if (!closeAfterAnswer || !bodyEnded) {
-            return false;
+    private void endIfAnswered() {
+        if (pipeline.sendsNoMore()) {
+            skipRest();
+            outflow.endWhenWritten();
         }
-        inflow.stop();
-        outflow.closeWhenWritten();
-        server.onConnectionClosed(this);
-        return true;
     }
 
-    Promise<Void> whenAccepted() {
-        return acceptance.next();
+    /**
+     * Closes the connection in the middle of an answer, so that the partial answer does not look complete. Requests
+     * that followed it on the connection have lost their caller.
+     */
+    void cut(CallerExchange broken) {
+        server.onExchangeEnded(broken);
+        // The decision that broke off the answer is still running; the loss of the caller is the next one.
+        CallerReply first = replies.peek();
+        if (first != null && first.exchange() == broken) {
+            first.setExchange(null);
+        }
+        pipeline.onLost(RelayLoop.now());
+        close();
+        Reactor.getCurrentReactor().post(() -> onEnd(false));
     }
 
-    void onAccepted() {
-        acceptance.fire();
+    /** Forgets an exchange and returns whether it was still open. */
+    boolean onExchangeEnded(CallerExchange exchange) {
+        return server.onExchangeEnded(exchange);
     }
 
     @Override
     public void onEnd(boolean orderly) {
-        close();
-        if (exchange != null) {
-            CallerExchange abandoned = exchange;
-            exchange = null;
-            abandoned.onCallerGone();
-            server.onExchangeEnded(abandoned);
+        if (ended) {
+            return;
         }
+        ended = true;
+        pipeline.onLost(RelayLoop.now());
+        close();
+        skipRest();
+        List<CallerReply> lost = List.copyOf(replies);
+        replies.clear();
+        lost.forEach(CallerReply::onCallerGone);
         server.onConnectionClosed(this);
     }
 
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
@@ -37,7 +37,7 @@
     private final EntryRequest request;
     private final CallerIdentity identity;
     private final RelayOpen head;
-    private final CallerConnection connection;
+    private final CallerReply reply;
     private final RelayCore core;
     private final RelayLoop loop;
     private final PeerPool pool;
@@ -62,7 +62,7 @@
             EntryRequest request,
             CallerIdentity identity,
             RelayOpen head,
-            CallerConnection connection,
+            CallerReply reply,
             RelayCore core,
             RelayLoop loop,
             PeerPool pool,
@@ -70,7 +70,7 @@
         this.request = Objects.requireNonNull(request, "request");
         this.identity = Objects.requireNonNull(identity, "identity");
         this.head = Objects.requireNonNull(head, "head");
-        this.connection = Objects.requireNonNull(connection, "connection");
+        this.reply = Objects.requireNonNull(reply, "reply");
         this.core = Objects.requireNonNull(core, "core");
         this.loop = Objects.requireNonNull(loop, "loop");
         this.pool = Objects.requireNonNull(pool, "pool");
@@ -129,7 +129,7 @@
     /** Returns a promise that completes once more of the request's body can be accepted. */
     Promise<Void> bodyRoom() {
         if (!accepted() && replayBuffer.size() >= MAX_REPLAY_BYTES) {
-            return connection.whenAccepted();
+            return reply.whenAccepted();
         }
         return attempt == null ? Promise.complete() : attempt.bodyRoom();
     }
@@ -150,7 +150,12 @@
         withdraw();
         onCallerGone();
         logEnd("refused", KeyVerdict.KEY_WITHDRAWN.name(), 0);
-        connection.answer(HttpResponseStatus.UNAUTHORIZED, "");
+        reply.answer(HttpResponseStatus.UNAUTHORIZED, "");
+    }
+
+    /** Returns what is held of the request's body and of an answer whose delivery has not begun, in bytes. */
+    int heldBytes() {
+        return replayBuffer.size() + answerBuffer.size();
     }
 
     void onCallerGone() {
@@ -167,13 +172,13 @@
             deliver();
         } else if (effect instanceof EntryEffect.Refuse refuse) {
             logEnd("refused", refuse.reason().name(), refuse.retryAfterMillis());
-            connection.refuse(refuse.reason(), refuse.retryAfterMillis());
+            reply.refuse(refuse.retryAfterMillis());
         } else if (effect instanceof EntryEffect.Fail fail) {
             logEnd("failed", fail.timedOut() ? "time over" : "connection lost or answer unusable", 0);
-            connection.fail(fail.timedOut());
+            reply.fail(fail.timedOut());
         } else if (effect instanceof EntryEffect.AbortAnswer) {
             logEnd("cut", "answer broken off", 0);
-            connection.cut(this);
+            reply.cut(this);
         }
     }
 
@@ -256,7 +261,7 @@
         if (attempt != null && request.route().kind().hasLargeBodies()) {
             sendBody();
         }
-        connection.onAccepted();
+        reply.onAccepted();
     }
 
     @Override
@@ -279,7 +284,7 @@
     @Override
     public void onAnswerBody(byte[] bytes) {
         if (delivering) {
-            connection.sendAnswerBody(bytes);
+            reply.sendAnswerBody(bytes);
             return;
         }
         answerBuffer.writeBytes(bytes);
@@ -304,7 +309,7 @@
         }
         answerEnded = true;
         if (delivering) {
-            connection.endAnswer();
+            reply.endAnswer();
         } else {
             reportAnswer();
         }
@@ -317,11 +322,11 @@
 
     private void deliver() {
         delivering = true;
-        connection.beginAnswer(answer, answerEnded ? answerBuffer.size() : -1);
-        connection.sendAnswerBody(answerBuffer.toByteArray());
+        reply.beginAnswer(answer, answerEnded ? answerBuffer.size() : -1);
+        reply.sendAnswerBody(answerBuffer.toByteArray());
         answerBuffer.reset();
         if (answerEnded) {
-            connection.endAnswer();
+            reply.endAnswer();
         }
     }
 
@@ -334,6 +339,6 @@
 
     @Override
     public Promise<Void> room() {
-        return delivering ? connection.answerRoom() : Promise.complete();
+        return reply.room(answerBuffer.size());
     }
 }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerServer.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerServer.java
@@ -19,6 +19,11 @@
 import io.netty.handler.codec.http.HttpUtil;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.verbenamast.core.chart.Chart;
+import org.verbenamast.core.client.pipeline.Pipeline;
+import org.verbenamast.core.client.pipeline.PipelineData;
+import org.verbenamast.core.client.pipeline.PipelineEvent;
+import org.verbenamast.core.client.pipeline.PipelineInput;
 import org.verbenamast.core.entry.CallerBudgets;
 import org.verbenamast.core.entry.EntryEffect;
 import org.verbenamast.core.entry.EntryRequest;
@@ -26,8 +31,8 @@
 import org.verbenamast.core.manifest.RequestLimits;
 import org.verbenamast.core.manifest.Route;
 import org.verbenamast.core.manifest.RouteTable;
+import org.verbenamast.core.manifest.ServiceRotation;
 import org.verbenamast.core.manifest.ServiceRules;
-import org.verbenamast.core.model.Address;
 import org.verbenamast.core.node.Timing;
 import org.verbenamast.core.relay.RelayCore;
 import org.verbenamast.core.tenant.CallerIdentity;
@@ -54,25 +59,27 @@
     private static final long UNAVAILABLE_RETRY_MILLIS = 500;
 
     private final SimpleServer server;
-    private final String service;
+    private final CallerSettings settings;
     private final RelayCore core;
     private final RelayLoop loop;
     private final PeerPool pool;
     private final RequestLog log;
     private final Map<Long, CallerExchange> exchanges = new HashMap<>();
     private final Set<CallerConnection> connections = new HashSet<>();
+    private final ServiceRotation rotation =
+            new ServiceRotation(() -> ThreadLocalRandom.current().nextDouble());
     private final CallerBudgets callerBudgets = new CallerBudgets();
     private boolean stopping;
     private boolean refusing;
     private long answersUntil = Long.MAX_VALUE;
+    private final Chart<PipelineEvent, PipelineData, PipelineInput> chart = Pipeline.chart();
     private long lastId;
 
     /**
      * Creates a server that does not listen yet.
      *
      * @param eventloop the only event loop of the process
-     * @param address the address to listen on
-     * @param service the service on this host that sends the requests
+     * @param settings the address to listen on, the service whose requests arrive there, and the limits on its clients
      * @param core makes the decisions about requests
      * @param loop runs the decisions on the event loop and executes their effects
      * @param pool the connections to other nodes
@@ -80,25 +87,29 @@
      */
     public CallerServer(
             Eventloop eventloop,
-            Address address,
-            String service,
+            CallerSettings settings,
             RelayCore core,
             RelayLoop loop,
             PeerPool pool,
             RequestCounts counts) {
-        this.service = Objects.requireNonNull(service, "service");
+        this.settings = Objects.requireNonNull(settings, "settings");
         this.core = Objects.requireNonNull(core, "core");
         this.loop = Objects.requireNonNull(loop, "loop");
         this.pool = Objects.requireNonNull(pool, "pool");
         this.log = new RequestLog(Hop.ENTRY, counts);
         this.server = SimpleServer.builder(
                         eventloop,
-                        socket -> connections.add(new CallerConnection(this, socket, (int) limits().maxHeaderBytes())))
+                        socket -> connections.add(
+                                new CallerConnection(this, socket, (int) limits().maxHeaderBytes(), newPipeline())))
                 .withSocketSettings(Sockets.SETTINGS)
-                .withListenAddress(Sockets.toSocketAddress(address))
+                .withListenAddress(Sockets.toSocketAddress(settings.address()))
                 .build();
     }
 
+    private Pipeline newPipeline() {
+        return new Pipeline(chart, settings.limits().pipelinedRequests(), RelayLoop.now());
+    }
+
     private RequestLimits limits() {
         return core.manifest().limits();
     }
@@ -140,10 +151,17 @@
         return exchanges.isEmpty();
     }
 
-    /** Closes connections that were idle for longer than the idle timeout of the manifest. */
+    /** Returns what is held for all callers, in bytes: bodies and answers in progress. */
+    long heldBytes() {
+        return connections.stream().mapToLong(CallerConnection::heldBytes).sum();
+    }
+
+    /** Closes connections that were idle for longer than the idle timeout of the manifest, or whose end is due. */
     public void closeIdle() {
-        long before = RelayLoop.now() - Timing.millisToNanos(limits().idleTimeoutMillis());
+        long now = RelayLoop.now();
+        long before = now - Timing.millisToNanos(limits().idleTimeoutMillis());
         for (CallerConnection connection : List.copyOf(connections)) {
+            connection.advance(now);
             if (connection.idleSince() < before) {
                 connection.close();
                 connections.remove(connection);
@@ -177,17 +195,27 @@
         connections.remove(connection);
     }
 
+    /** Returns whether a request may run more than once; one that this node answers by itself runs nowhere. */
+    boolean isRepeatable(HttpRequest head) {
+        String host = head.headers().get(HttpHeaderNames.HOST, "");
+        return core.manifest()
+                .routes()
+                .flatMap(routes -> routes.find(host, head.uri()))
+                .map(route -> route.kind().isRepeatable())
+                .orElse(true);
+    }
+
     /** Starts a request, or answers it immediately if it is rejected here. */
-    void begin(CallerConnection connection, HttpRequest head) {
+    void begin(CallerReply reply, HttpRequest head) {
         String host = head.headers().get(HttpHeaderNames.HOST, "");
         Optional<RouteTable> routes = core.manifest().routes();
         if (refusing || routes.isEmpty() || routes.get().isUnreadable(host, head.uri())) {
-            connection.answer(
+            reply.answer(
                     HttpResponseStatus.SERVICE_UNAVAILABLE, RequestFields.retryAfter(UNAVAILABLE_RETRY_MILLIS));
             return;
         }
         if (HttpUtil.getContentLength(head, 0L) > limits().maxBodyBytes()) {
-            connection.answer(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "");
+            reply.answer(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "");
             return;
         }
         Optional<Route> route = routes.get().find(host, head.uri());
@@ -198,7 +226,7 @@
                 LogField.TARGET.of(host + head.uri()),
                 LogField.MANIFEST.of(core.manifest().version())
             });
-            connection.answer(route.isEmpty() ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.BAD_REQUEST, "");
+            reply.answer(route.isEmpty() ? HttpResponseStatus.NOT_FOUND : HttpResponseStatus.BAD_REQUEST, "");
             return;
         }
         CallerIdentity identity = CallerIdentity.of(
@@ -214,16 +242,21 @@
                             route.get().name(),
                             0),
                     () -> new Object[] {LogField.MANIFEST.of(core.manifest().version())});
-            connection.answer(HttpResponseStatus.UNAUTHORIZED, "");
+            reply.answer(HttpResponseStatus.UNAUTHORIZED, "");
             return;
         }
-        begin(connection, head, route.get(), attemptId, identity);
+        begin(reply, head, route.get(), attemptId, identity);
     }
 
     private void begin(
-            CallerConnection connection, HttpRequest head, Route route, String attemptId, CallerIdentity identity) {
+            CallerReply reply, HttpRequest head, Route route, String attemptId, CallerIdentity identity) {
         long now = RelayLoop.now();
-        String targetService = route.selectService(ThreadLocalRandom.current().nextDouble());
+        Optional<String> selected = rotation.next(route, core.manifest().version());
+        if (selected.isEmpty()) {
+            reply.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, RequestFields.retryAfter(UNAVAILABLE_RETRY_MILLIS));
+            return;
+        }
+        String targetService = selected.get();
         long budgetMillis = parseNonNegative(head.headers().get(RequestFields.TIME_LEFT), DEFAULT_DEADLINE_MILLIS);
         long deadlineMillis = Math.min(budgetMillis, route.timeoutMillis());
         OptionalInt key = key(head, targetService);
@@ -239,9 +272,9 @@
                 now + Timing.millisToNanos(route.objectiveMillis() - spentMillis),
                 Math.max(now, Math.min(answersUntil, now + Timing.millisToNanos(deadlineMillis))));
         CallerExchange exchange = new CallerExchange(
-                request, identity, openFrame(head, identity, route), connection, core, loop, pool, log);
+                request, identity, openFrame(head, identity, route), reply, core, loop, pool, log);
         exchanges.put(request.id(), exchange);
-        connection.setExchange(exchange);
+        reply.setExchange(exchange);
         exchange.open();
     }
 
@@ -276,7 +309,7 @@
                 .setMethod(head.method().name())
                 .setTarget(head.uri())
                 .setHost(head.headers().get(HttpHeaderNames.HOST, ""))
-                .setCallerService(service)
+                .setCallerService(settings.service())
                 .setTenant(identity.tenantName())
                 .setPriority(identity.priority(route))
                 .setBodyLength(HttpUtil.isTransferEncodingChunked(head) ? -1 : HttpUtil.getContentLength(head, 0L))
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/net/SocketWriter.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/net/SocketWriter.java
@@ -57,14 +57,32 @@
         }
     }
 
-    /** Closes the socket once all pending bytes are written. */
-    public void closeWhenWritten() {
+    /** Ends this side of the connection once all pending bytes are written; the peer may still send. */
+    public void endWhenWritten() {
+        if (closing) {
+            return;
+        }
         closing = true;
         if (!writing) {
-            socket.close();
+            end();
+        }
+    }
+
+    private void end() {
+        if (!socket.isClosed()) {
+            socket.write(null).whenException(e -> onFailure.run());
         }
     }
 
+    /**
+     * Returns how much waits to be written.
+     *
+     * @return the bytes that were accepted and that the socket has not taken yet
+     */
+    public int pendingBytes() {
+        return pendingBytes;
+    }
+
     /**
      * Waits until more may be written.
      *
@@ -85,7 +103,7 @@
         if (pending.isEmpty()) {
             writing = false;
             if (closing) {
-                socket.close();
+                end();
             }
             return;
         }
--- a/verbenamast-relay/src/test/java/org/verbenamast/relay/caller/CallerFixture.java
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/caller/CallerFixture.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.verbenamast.core.admission.AdmissionLoad;
 import org.verbenamast.core.chart.TransitionListener;
+import org.verbenamast.core.client.ClientLimits;
 import org.verbenamast.core.effect.Effect;
 import org.verbenamast.core.entry.EntryEffect;
 import org.verbenamast.core.keys.KeyLeaseTimings;
@@ -78,7 +79,8 @@
         try (ServerSocket probe = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             callers = new Address("127.0.0.1", probe.getLocalPort());
         }
-        server = new CallerServer(eventloop, callers, "frontend", core, loop, peers, new RequestCounts());
+        CallerSettings settings = new CallerSettings(callers, "frontend", ClientLimits.DEFAULT);
+        server = new CallerServer(eventloop, settings, core, loop, peers, new RequestCounts());
         server.listen();
         eventloop.keepAlive(true);
         putManifest(1, false);
--- a/verbenamast-relay/src/test/java/org/verbenamast/relay/caller/CallerServerTest.java
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/caller/CallerServerTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.verbenamast.core.chart.TransitionListener;
+import org.verbenamast.core.client.ClientLimits;
 import org.verbenamast.core.effect.Effect;
 import org.verbenamast.core.entry.EntryEffect;
 import org.verbenamast.core.gate.crash.CrashReport;
@@ -88,8 +89,8 @@
     void start() throws IOException {
         peer = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         int port = freePort();
-        server = new CallerServer(
-                eventloop, new Address("127.0.0.1", port), "frontend", core, loop, peers, new RequestCounts());
+        CallerSettings settings = new CallerSettings(new Address("127.0.0.1", port), "frontend", ClientLimits.DEFAULT);
+        server = new CallerServer(eventloop, settings, core, loop, peers, new RequestCounts());
         server.listen();
         eventloop.keepAlive(true);
         caller = new Socket();
