--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerServer.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerServer.java
@@ -210,8 +210,7 @@
         String host = head.headers().get(HttpHeaderNames.HOST, "");
         Optional<RouteTable> routes = core.manifest().routes();
         if (refusing || routes.isEmpty() || routes.get().isUnreadable(host, head.uri())) {
-            reply.answer(
-                    HttpResponseStatus.SERVICE_UNAVAILABLE, RequestFields.retryAfter(UNAVAILABLE_RETRY_MILLIS));
+            reply.answer(HttpResponseStatus.SERVICE_UNAVAILABLE, RequestFields.retryAfter(UNAVAILABLE_RETRY_MILLIS));
             return;
         }
         if (HttpUtil.getContentLength(head, 0L) > limits().maxBodyBytes()) {
@@ -248,8 +247,7 @@
         begin(reply, head, route.get(), attemptId, identity);
     }
 
-    private void begin(
-            CallerReply reply, HttpRequest head, Route route, String attemptId, CallerIdentity identity) {
+    private void begin(CallerReply reply, HttpRequest head, Route route, String attemptId, CallerIdentity identity) {
         long now = RelayLoop.now();
         Optional<String> selected = rotation.next(route, core.manifest().version());
         if (selected.isEmpty()) {
@@ -271,8 +269,8 @@
                 now,
                 now + Timing.millisToNanos(route.objectiveMillis() - spentMillis),
                 Math.max(now, Math.min(answersUntil, now + Timing.millisToNanos(deadlineMillis))));
-        CallerExchange exchange = new CallerExchange(
-                request, identity, openFrame(head, identity, route), reply, core, loop, pool, log);
+        CallerExchange exchange =
+                new CallerExchange(request, identity, openFrame(head, identity, route), reply, core, loop, pool, log);
         exchanges.put(request.id(), exchange);
         reply.setExchange(exchange);
         exchange.open();
