Follow the store into a new era when it comes back from an older copy

A row was replaced only by one of a later version, so that nothing that was written after such a return was believed. A version is now (era, number), packed into one number; the client reads Store-Era, answers of a lower era count as lost, and transactions across eras as unknown.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/crash/CrashReportController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/crash/CrashReportController.java
@@ -186,6 +186,13 @@
         }
     }
 
+    /** Writes the reports of this node again, as far as the store has lost them with its last era. */
+    public void writeAgain() {
+        unwritten.addAll(
+                0,
+                suspects.reportsByNode().getOrDefault(node, CrashReports.NONE).reports());
+    }
+
     /**
      * Returns the changes of rows that add this node's reports, and that remove answered requests from all reports.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyController.java
@@ -25,6 +25,7 @@
 import org.verbenamast.core.rows.StorePurpose;
 import org.verbenamast.core.rows.StoreResult;
 import org.verbenamast.core.rows.StoredRow;
+import org.verbenamast.core.watch.StoreEras;
 
 /**
  * Controls the keys of the service beside this node: which keys its server is granted, which keys it releases and, if
@@ -52,6 +53,7 @@
     private final LeaseWatchController leaseWatch;
     private final KeyDemand demand;
     private final KeyPlanner planner;
+    private final EraPassage passage;
     private final long startedAt;
     private KeyGrantLedger grants;
     private Heartbeat lastHeartbeat;
@@ -68,6 +70,7 @@
      * @param replica the rows that this node knows
      * @param reachable whether this node reaches a member
      * @param membersAsOf returns, at a monotonic time, the time as of which all members are known; both in nanoseconds
+     * @param eras what this node knows of the store's era
      * @param listener notified of each transition
      */
     public KeyController(
@@ -76,6 +79,7 @@
             RowReplica replica,
             Predicate<Member> reachable,
             LongUnaryOperator membersAsOf,
+            StoreEras eras,
             TransitionListener listener) {
         this.node = self.node();
         this.service = self.service();
@@ -88,6 +92,7 @@
         this.keyLease = new KeyLeaseController(timings, service, self.nodeIncarnation(), listener);
         this.mapWriter = new RowWriter(StorePurpose.KEY_MAP, replica, this::requiredChanges, listener);
         this.leaseWatch = new LeaseWatchController(timings.leaseMillis(), listener);
+        this.passage = new EraPassage(eras, planner);
     }
 
     /**
@@ -152,10 +157,11 @@
 
     private Optional<KeyGrant> grantKeys(long now, Effects effects) {
         long grantMillis = Math.min(keyLease.grantMillis(now), maxGrantMillis);
-        if (grantMillis < MIN_GRANT_MILLIS) {
+        KeyMap map = map();
+        passage.recordLease(map, keyLease.leaseNanos(now));
+        if (grantMillis < MIN_GRANT_MILLIS || !passage.mayGrant(map)) {
             return Optional.empty();
         }
-        KeyMap map = map();
         grants.revoke(map);
         List<GrantedKeys> keys = grants.grantsFrom(map);
         grants.recordGrant(keys, grantMillis, now, effects);
@@ -198,7 +204,10 @@
      * @return whether the server owns the key, it is not moving away, and this node may grant keys
      */
     public boolean isExpected(int key, long now) {
-        return grants != null && keyLease.grantMillis(now) >= MIN_GRANT_MILLIS && grants.isToBeGranted(key, map());
+        return grants != null
+                && keyLease.grantMillis(now) >= MIN_GRANT_MILLIS
+                && passage.mayGrant(map())
+                && grants.isToBeGranted(key, map());
     }
 
     /**
@@ -240,8 +249,11 @@
      * @param effects receives the effects
      */
     public void onStoreResult(StorePurpose purpose, long callId, StoreResult result, long now, Effects effects) {
+        passage.recordLease(map(), keyLease.leaseNanos(now));
         if (result instanceof StoreResult.Conflicted conflicted) {
-            conflicted.rows().forEach(row -> onConflictingRow(row, now, effects));
+            conflicted.rows().stream()
+                    .filter(row -> row.ref().table() == RowTable.LEASES)
+                    .forEach(row -> leaseWatch.onLeaseRow(row, now, effects));
         }
         if (result instanceof StoreResult.Read read) {
             replica.apply(read.rows().stream()
@@ -256,12 +268,6 @@
         mapWriter.review(now, effects);
     }
 
-    private void onConflictingRow(StoredRow row, long now, Effects effects) {
-        if (row.ref().table() == RowTable.LEASES) {
-            leaseWatch.onLeaseRow(row, now, effects);
-        }
-    }
-
     /**
      * Handles everything that is due: timers, grants and leases that expire, and, once per review interval, leases to
      * watch and keys to move.
@@ -273,6 +279,7 @@
         if (grants != null) {
             grants.settle(now);
         }
+        passage.recordLease(map(), keyLease.leaseNanos(now));
         keyLease.advance(now, effects);
         leaseWatch.advance(now, effects);
         mapWriter.advance(now, effects);
@@ -313,10 +320,14 @@
      * Watches the leases for owners that have ended beside this node or, if this node is the planner, that are lost.
      */
     private void watchSuspectLeases(long now, Effects effects) {
+        if (passage.isNewEra()) {
+            leaseWatch.retain(Set.of());
+        }
+        boolean mayPlan = passage.mayPlan(map(), now);
         boolean isPlanner = hosts.isPlanner(now);
         Set<ServerIncarnation> watched = new HashSet<>();
         for (ServerIncarnation owner : map().owners()) {
-            boolean suspect = hosts.hasEnded(owner) || isPlanner && hosts.isLost(owner, now);
+            boolean suspect = mayPlan && (hosts.hasEnded(owner) || isPlanner && hosts.isLost(owner, now));
             if (suspect) {
                 watched.add(owner);
                 leaseWatch.watch(owner, hosts.hasEnded(owner), now, effects);
@@ -336,8 +347,13 @@
             return List.of();
         }
         KeyMap before = map();
+        if (!passage.mayPlan(before, now)) {
+            boolean restores = replica.isLost(mapRow()) && passage.mayRestore(now);
+            return restores ? List.of(mapChange(before)) : List.of();
+        }
         List<RowChange> changes = new ArrayList<>();
-        KeyMap after = before;
+        KeyMap settled = passage.settled(before);
+        KeyMap after = settled;
         if (grants != null) {
             grants.revoke(before);
             after = grants.release(after, now);
@@ -350,13 +366,17 @@
             }
         }
         after = planner.plan(after, now);
-        if (after.equals(before)) {
+        if (after.equals(before) || before.isVacant() && after.equals(settled)) {
             return List.of();
         }
-        changes.add(0, new RowChange(mapRow(), row.expectedVersion(), Optional.of(after)));
+        changes.add(0, mapChange(after));
         return changes;
     }
 
+    private RowChange mapChange(KeyMap map) {
+        return new RowChange(mapRow(), replica.expectedVersion(mapRow()), Optional.of(map));
+    }
+
     /**
      * Returns what this node owns and may grant, for the metrics page.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyMap.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyMap.java
@@ -23,6 +23,8 @@
  */
 public record KeyMap(String service, long lastEpoch, List<KeyAssignment> assignments) implements RowContent {
 
+    private static final long EPOCHS_PER_ERA = 1L << 24;
+
     /** Checks that the assignments cover all keys in order. */
     public KeyMap {
         Checks.notBlank("service", service);
@@ -60,6 +62,55 @@
                 .orElseGet(() -> vacant(row.ref().key()));
     }
 
+    /**
+     * Returns the first fencing token of an era of the store. What the store loses with an era is too little for the
+     * tokens of one era to reach the next one.
+     *
+     * @param era the era
+     * @return the token; 0 in era 0
+     */
+    public static long firstEpochOf(long era) {
+        return era * EPOCHS_PER_ERA;
+    }
+
+    /**
+     * Returns whether the map has been settled in an era of the store: it lacks nothing that the store lost before.
+     *
+     * @param era the era
+     * @return whether its fencing tokens have reached those of the era
+     */
+    public boolean isSettledIn(long era) {
+        return lastEpoch >= firstEpochOf(era);
+    }
+
+    /**
+     * Returns the map for an era of the store, whose next fencing tokens are above all that may have been lost.
+     *
+     * @param era the era
+     * @return the settled map
+     */
+    public KeyMap settledIn(long era) {
+        return isSettledIn(era) ? this : new KeyMap(service, firstEpochOf(era), assignments);
+    }
+
+    /**
+     * Returns whether no key has ever been assigned.
+     *
+     * @return whether no assignment has an owner or a fencing token
+     */
+    public boolean isVacant() {
+        return assignments.stream().allMatch(assignment -> assignment.owner().isEmpty() && assignment.epoch() == 0);
+    }
+
+    @Override
+    public boolean outlasts(Optional<RowContent> stored) {
+        return stored.filter(KeyMap.class::isInstance)
+                        .map(KeyMap.class::cast)
+                        .map(KeyMap::lastEpoch)
+                        .orElse(0L)
+                < lastEpoch;
+    }
+
     /**
      * Returns the assignment of a key.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyPlanner.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyPlanner.java
@@ -24,6 +24,9 @@
     /** Time that each node by name leaves to those before it, in nanoseconds; a review and a slow call to the store. */
     private static final long STEP_IN_DELAY_NANOS = Timing.millisToNanos(700);
 
+    /** Rank above which nodes by name no longer wait for those before them. */
+    private static final int MAX_RANK = 5;
+
     private static final long NEVER = Long.MAX_VALUE;
 
     private final KeyHosts hosts;
@@ -51,7 +54,7 @@
     /** Returns the map as this node wants it at a monotonic time in nanoseconds; the same instance if it is right. */
     KeyMap plan(KeyMap map, long now) {
         recordMemberCount(now);
-        boolean first = map.lastEpoch() == 0;
+        boolean first = map.isVacant();
         if (first && !isSettled(now)) {
             return map;
         }
@@ -83,6 +86,12 @@
         }
     }
 
+    /** Returns how long this node leaves to those before it by name, in nanoseconds; longest if it may not plan. */
+    long turnNanos(long now) {
+        int rank = hosts.rank(now);
+        return STEP_IN_DELAY_NANOS * (rank < 0 ? MAX_RANK : Math.min(MAX_RANK, rank));
+    }
+
     /** Returns whether the nodes before this one have left keys without a fit destination for too long. */
     private boolean mayStepIn(KeyMap map, int rank, long now) {
         Set<ServerIncarnation> fit = incarnations(hosts.serving());
--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/OwnRows.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/OwnRows.java
@@ -22,6 +22,8 @@
     private final CrashReportController crashReports;
     private final RowWriter writer;
     private boolean replicaRead;
+    private long era;
+    private boolean rereading;
 
     OwnRows(
             RelaySettings settings,
@@ -35,7 +37,7 @@
     }
 
     private List<RowChange> wantedChanges(long now) {
-        if (!replicaRead) {
+        if (!replicaRead || rereading) {
             return List.of();
         }
         List<RowChange> changes = new ArrayList<>(memberRow.wantedChanges());
@@ -47,9 +49,22 @@
     boolean onSnapshot() {
         boolean first = !replicaRead;
         replicaRead = true;
+        rereading = false;
         return first;
     }
 
+    /**
+     * Handles the era of the store. In a new one the store may have lost rows of this node: nothing is written or
+     * confirmed before the rows have been read again.
+     */
+    void onEra(long known) {
+        if (known != era) {
+            era = known;
+            rereading = true;
+            crashReports.writeAgain();
+        }
+    }
+
     boolean isReplicaRead() {
         return replicaRead;
     }
@@ -61,7 +76,7 @@
 
     /** Returns whether the store knows that the server with an id, the one beside this node now, leaves. */
     boolean isLeaveRecorded(String id) {
-        return memberRow.isLeaveRecorded(id);
+        return !rereading && memberRow.isLeaveRecorded(id);
     }
 
     /** Writes the changes that the rows need, unless a call is pending. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
@@ -15,7 +15,6 @@
 import org.verbenamast.core.entry.EntryController;
 import org.verbenamast.core.gate.crash.CrashReportController;
 import org.verbenamast.core.keys.KeyController;
-import org.verbenamast.core.keys.KeyControllerSettings;
 import org.verbenamast.core.manifest.ActiveManifest;
 import org.verbenamast.core.manifest.Manifest;
 import org.verbenamast.core.manifest.ServiceRules;
@@ -27,6 +26,7 @@
 import org.verbenamast.core.rows.RowTable;
 import org.verbenamast.core.rows.StorePurpose;
 import org.verbenamast.core.rows.StoreResult;
+import org.verbenamast.core.rows.StoreVersion;
 import org.verbenamast.core.rows.StoredRow;
 import org.verbenamast.core.watch.FollowController;
 import org.verbenamast.core.watch.FollowedTable;
@@ -51,7 +51,7 @@
     private final OwnRows ownRows;
     private final NoticeController notices;
     private final FollowController follow;
-    private final Evacuation evacuation = new Evacuation();
+    private final Evacuation evacuation;
     private final ActiveManifest manifest = new ActiveManifest();
     private long nextReportAt;
 
@@ -66,18 +66,14 @@
         RowReplica replica = rows.replica();
         Roster roster = rows.roster();
         this.follow = new FollowController(settings.random(), listener);
+        this.evacuation = new Evacuation(settings.zone(), roster);
         this.backend = new BackendStateController(listener);
         this.serverStatuses = new ServerStatuses(backend, settings.drainMillis());
         this.crashReports = new CrashReportController(settings.node(), replica, rows.suspects(), settings.random());
         this.entry = new EntryController(settings.zone(), roster, replica, crashReports, settings.random(), listener);
         this.admission = new AdmissionController(this, listener);
-        KeyControllerSettings keyed = new KeyControllerSettings(
-                settings.node(),
-                settings.incarnation(),
-                settings.service(),
-                settings.leaseTimings(),
-                settings.startedAt());
-        this.keys = new KeyController(keyed, roster, replica, entry::isReachable, follow::membersAsOf, listener);
+        this.keys = new KeyController(
+                settings.keyed(), roster, replica, entry::isReachable, follow::membersAsOf, follow.eras(), listener);
         this.ownRows = new OwnRows(settings, replica, backend, crashReports, listener);
         this.notices = new NoticeController(
                 new ServerNotices(settings, backend, crashReports, keys, ownRows, this::isKeyed), listener);
@@ -146,11 +142,18 @@
      * @param effects receives the effects
      */
     public void onEvacuatedZones(Set<Zone> evacuatedZones, long now, Effects effects) {
-        evacuation.update(evacuatedZones.contains(settings.zone()), now);
-        rows.roster().setEvacuatedZones(evacuatedZones);
+        evacuation.update(evacuatedZones, follow.eras().era(), now);
         updateAdmission(now, effects);
     }
 
+    /** Handles a new era of the store, and the end of the time in which what it lost is written again. */
+    private void reviewEra(long now, Effects effects) {
+        ownRows.onEra(follow.eras().era());
+        if (evacuation.review(follow.eras(), now)) {
+            updateAdmission(now, effects);
+        }
+    }
+
     /**
      * Applies changed rows of the followed tables.
      *
@@ -159,6 +162,8 @@
      * @param effects receives the effects
      */
     public void onRows(Collection<StoredRow> changed, long now, Effects effects) {
+        changed.forEach(row -> follow.onEra(StoreVersion.ofPacked(row.version()).era(), now, effects));
+        reviewEra(now, effects);
         rows.replica().apply(changed);
         changed.stream()
                 .filter(row -> row.ref().table() == RowTable.KEYS)
@@ -177,6 +182,7 @@
      * @param effects receives the effects
      */
     public void onSnapshot(Collection<StoredRow> all, long version, long now, Effects effects) {
+        reviewEra(now, effects);
         rows.replica().applySnapshot(all, version);
         if (ownRows.onSnapshot()) {
             backend.restore(ownRows.storedMember(), now);
@@ -258,6 +264,7 @@
             updateAdmission(now, effects);
         }
         follow.advance(now, effects);
+        reviewEra(now, effects);
         notices.advance(now, effects);
         reviewNotices(now, effects);
         ownRows.advance(now, effects);
--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelaySettings.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelaySettings.java
@@ -4,6 +4,7 @@
 import java.util.function.DoubleSupplier;
 
 import org.verbenamast.core.check.Checks;
+import org.verbenamast.core.keys.KeyControllerSettings;
 import org.verbenamast.core.keys.KeyLeaseTimings;
 import org.verbenamast.core.model.Address;
 import org.verbenamast.core.model.Zone;
@@ -50,6 +51,11 @@
         Objects.requireNonNull(random, "random");
     }
 
+    /** Returns the settings of the keys of the service beside the node. */
+    KeyControllerSettings keyed() {
+        return new KeyControllerSettings(node, incarnation, service, leaseTimings, startedAt);
+    }
+
     /** Returns whether a heartbeat is of the server beside the node. */
     boolean isOfServerHere(Heartbeat heartbeat) {
         return heartbeat.service().equals(service) && heartbeat.address().equals(server.toString());
--- a/verbenamast-core/src/main/java/org/verbenamast/core/rows/RowReplica.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/rows/RowReplica.java
@@ -9,11 +9,16 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
-/** A node's copy of the store's rows. A row is replaced only by one of a later version. */
+/**
+ * A node's copy of the store's rows. A row is replaced only by one of a later version. Content that the store has lost
+ * with its last era may stay, under the version of what the store has instead.
+ */
 public final class RowReplica {
 
     private final Map<RowRef, StoredRow> rows = new HashMap<>();
     private final Consumer<StoredRow> listener;
+    /** The rows whose content the store has lost, each with the version to expect in a change of the row. */
+    private final Map<RowRef, Long> lostVersions = new HashMap<>();
 
     /**
      * Creates an empty replica.
@@ -34,15 +39,54 @@
         for (StoredRow row : received) {
             StoredRow known = rows.get(row.ref());
             if (known == null || known.version() < row.version()) {
-                boolean keepsContent = known != null && known.isReadable() && row.isUnreadable();
-                rows.put(row.ref(), keepsContent ? new StoredRow(row.ref(), row.version(), known.content()) : row);
-                if (!keepsContent) {
-                    listener.accept(row);
-                }
+                replace(known, row);
             }
         }
     }
 
+    private void replace(StoredRow known, StoredRow row) {
+        boolean isLost = known != null && isLost(known, row);
+        boolean keepsContent = isLost || known != null && known.isReadable() && row.isUnreadable();
+        rows.put(row.ref(), keepsContent ? new StoredRow(row.ref(), row.version(), known.content()) : row);
+        if (isLost) {
+            lostVersions.put(row.ref(), row.expectedVersion());
+        } else {
+            lostVersions.remove(row.ref());
+        }
+        if (!keepsContent) {
+            listener.accept(row);
+        }
+    }
+
+    /** Returns whether the store has lost the known content of a row and has an older one. */
+    private static boolean isLost(StoredRow known, StoredRow stored) {
+        boolean mayBeLost = StoreVersion.ofPacked(stored.version()).era() > 0 && !stored.isUnreadable();
+        return mayBeLost
+                && known.content()
+                        .filter(content -> content.outlasts(stored.content()))
+                        .isPresent();
+    }
+
+    /**
+     * Returns whether the known content of a row has to be written again, because the store has lost it.
+     *
+     * @param ref identifies the row
+     * @return whether the store has an older content or none
+     */
+    public boolean isLost(RowRef ref) {
+        return lostVersions.containsKey(ref);
+    }
+
+    /**
+     * Returns the version to expect in a change of a row.
+     *
+     * @param ref identifies the row
+     * @return the version that the store's row has; 0 if the store does not have the row
+     */
+    public long expectedVersion(RowRef ref) {
+        return lostVersions.getOrDefault(ref, find(ref).expectedVersion());
+    }
+
     /**
      * Applies a snapshot of the followed tables. Known rows that are older than the snapshot and missing from it were
      * deleted.
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowController.java
@@ -10,6 +10,7 @@
 import org.verbenamast.core.chart.file.ChartReader;
 import org.verbenamast.core.effect.Effects;
 import org.verbenamast.core.node.Timing;
+import org.verbenamast.core.rows.StoreVersion;
 
 /**
  * Follows the tables of the store that every node has to know. It decides which answers count: whichever call an answer
@@ -28,6 +29,7 @@
             new Vocabulary<>(FollowEvent.class, FollowGuard.class, FollowAction.class, FollowTimer.class, NoTag.class);
 
     private final ChartInstances<FollowedTable, FollowEvent, FollowData, FollowInput> tables;
+    private final EraController eras;
     /** The monotonic time since which no run was longer ago than the maximum pause, in nanoseconds. */
     private long runningSince;
 
@@ -41,6 +43,7 @@
      */
     public FollowController(DoubleSupplier random, TransitionListener listener) {
         Objects.requireNonNull(random, "random");
+        this.eras = new EraController(listener);
         this.tables =
                 new ChartInstances<>(ChartReader.bundled("follow", VOCABULARY), event -> FollowInput.NONE, listener);
         for (FollowedTable table : FollowedTable.values()) {
@@ -91,12 +94,57 @@
         if (!calls(table).isPending(callId)) {
             return false;
         }
-        boolean accepted = event.isAnswer() && tables.find(table).data().copy().accepts(input);
+        boolean isNewEra = event.isAnswer() && eraOf(input.version()) > eras.era();
+        if (isNewEra) {
+            onEra(eraOf(input.version()), now, effects);
+        }
+        boolean accepted = event.isAnswer() && accepts(table, event, input);
         FollowEvent outcome = event.isAnswer() && !accepted ? FollowEvent.FAILED : event;
-        tables.fire(table, outcome, input.withCallId(callId), now, effects);
+        if (calls(table).isPending(callId)) {
+            tables.fire(table, outcome, input.withCallId(callId), now, effects);
+        }
+        if (accepted && event == FollowEvent.READ) {
+            eras.onTableRead(table, input.version(), now, effects);
+        }
         return accepted;
     }
 
+    /** Returns whether the rows of an answer are to be applied: changes count only beside a copy of the same era. */
+    private boolean accepts(FollowedTable table, FollowEvent event, FollowInput answer) {
+        TableCopy copy = tables.find(table).data().copy();
+        long era = eraOf(answer.version());
+        boolean fits = event == FollowEvent.READ || era == eraOf(copy.version());
+        return fits && era == eras.era() && copy.accepts(answer);
+    }
+
+    private static long eraOf(long version) {
+        return StoreVersion.ofPacked(version).era();
+    }
+
+    /**
+     * Handles the era that an answer of the store or another node tells. In a new one all tables are read again.
+     *
+     * @param era the era
+     * @param now the monotonic time, in nanoseconds
+     * @param effects receives the effects
+     */
+    public void onEra(long era, long now, Effects effects) {
+        if (eras.onEra(era, now, effects)) {
+            for (FollowedTable table : FollowedTable.values()) {
+                tables.fire(table, FollowEvent.NEW_ERA, FollowInput.NONE, now, effects);
+            }
+        }
+    }
+
+    /**
+     * Returns what this node knows of the store's era.
+     *
+     * @return the era
+     */
+    public StoreEras eras() {
+        return eras;
+    }
+
     /**
      * Handles the end of a call to the store. Ignores a call that has been cancelled.
      *
@@ -178,6 +226,7 @@
      * @param effects receives the effects
      */
     public void onVersions(StoreVersions versions, long now, Effects effects) {
+        onEra(Math.max(eraOf(versions.sharedVersion()), eraOf(versions.operatorsVersion())), now, effects);
         checkBehind(FollowedTable.SHARED, versions.sharedVersion(), now, effects);
         checkBehind(FollowedTable.OPERATORS, versions.operatorsVersion(), now, effects);
     }
@@ -261,15 +310,16 @@
             runningSince = now;
         }
         lastRunAt = now;
+        eras.advance(now, effects);
         tables.advance(now, effects);
     }
 
     /**
-     * Returns when the next timer of a table is due.
+     * Returns when the next timer is due.
      *
      * @return the monotonic time, in nanoseconds
      */
     public long nextDue() {
-        return tables.nextDue();
+        return Math.min(tables.nextDue(), eras.nextDue());
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowEvent.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/watch/FollowEvent.java
@@ -24,6 +24,8 @@
     OVERSIZED,
     /** The store no longer has all changes since the known version, so that all rows have to be read again. */
     HISTORY_GONE,
+    /** The store has come back from an older copy, so that all rows have to be read again. */
+    NEW_ERA,
     /** A call to the store failed, or was answered with an older version than the one held. */
     FAILED,
     /** The delay before the next call has elapsed. */
--- a/verbenamast-core/src/test/java/org/verbenamast/core/keys/KeyControllerTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/keys/KeyControllerTest.java
@@ -20,6 +20,7 @@
 import org.verbenamast.core.rows.StorePurpose;
 import org.verbenamast.core.rows.StoreResult;
 import org.verbenamast.core.rows.StoredRow;
+import org.verbenamast.core.watch.EraController;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -36,6 +37,7 @@
             new RowReplica(row -> {}),
             member -> true,
             now -> now,
+            new EraController(TransitionListener.NONE),
             TransitionListener.NONE);
 
     private static Member member(String node) {
--- a/verbenamast-core/src/test/java/org/verbenamast/core/keys/KeyScheduleTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/keys/KeyScheduleTest.java
@@ -46,7 +46,7 @@
         }
     }
 
-    private static void restore(VirtualKeys.Host host) {
+    static void restore(VirtualKeys.Host host) {
         host.disconnectStore(0);
         if (host.server() == null || host.server().state() != org.verbenamast.core.roster.ServerState.READY) {
             host.startServer();
@@ -55,7 +55,7 @@
         host.startNode();
     }
 
-    private static void injectFault(VirtualKeys fleet) {
+    static void injectFault(VirtualKeys fleet) {
         Random random = fleet.random();
         VirtualKeys.Host host = fleet.randomHost();
         switch (random.nextInt(7)) {
--- a/verbenamast-core/src/test/java/org/verbenamast/core/keys/VirtualKeys.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/keys/VirtualKeys.java
@@ -22,6 +22,8 @@
 import org.verbenamast.core.rows.StoreResult;
 import org.verbenamast.core.rows.VirtualRows;
 import org.verbenamast.core.store.StoreFailure;
+import org.verbenamast.core.watch.EraController;
+import org.verbenamast.core.watch.FollowedTable;
 
 /** Hosts, each with a node and a backend server that is granted keys, on virtual time with faults drawn from a seed. */
 final class VirtualKeys {
@@ -51,6 +53,7 @@
         private KeyController controller;
         private RowReplica replica;
         private Roster roster;
+        private EraController eras;
         private VirtualServer server;
         private long nextHeartbeat;
         private long disconnectedUntil;
@@ -66,7 +69,9 @@
             replica = new RowReplica(row -> {});
             KeyControllerSettings self = new KeyControllerSettings(
                     name, 1_000L * serverCount + start, SERVICE, KeyLeaseTimings.DEFAULT, now);
-            controller = new KeyController(self, roster, replica, this::isReachable, at -> at, TransitionListener.NONE);
+            eras = new EraController(TransitionListener.NONE);
+            controller = new KeyController(
+                    self, roster, replica, this::isReachable, at -> at, eras, TransitionListener.NONE);
         }
 
         void stopNode() {
@@ -132,13 +137,22 @@
                 return;
             }
             refreshRoster();
+            KeyController current = controller;
             if (now >= disconnectedUntil && now >= storeDownUntil) {
-                replica.apply(store.keyMaps());
+                readStore();
             }
-            KeyController current = controller;
+            eras.advance(now, effect -> {});
             current.advance(now, effect -> execute(current, effect));
         }
 
+        private void readStore() {
+            eras.onEra(store.era(), now, effect -> {});
+            replica.applySnapshot(store.keyMaps(), store.version());
+            for (FollowedTable table : FollowedTable.values()) {
+                eras.onTableRead(table, store.version(), now, effect -> {});
+            }
+        }
+
         private void refreshRoster() {
             for (Host host : hosts) {
                 if (host.server != null) {
@@ -218,6 +232,18 @@
         storeDownUntil = now + Timing.millisToNanos(millis);
     }
 
+    VirtualRows.Copy copyStore() {
+        return store.copy();
+    }
+
+    void restoreStore(VirtualRows.Copy copy) {
+        store.comeBackFrom(copy);
+    }
+
+    KeyMap storedMap() {
+        return store.keyMaps().stream().map(KeyMap::of).findAny().orElse(KeyMap.vacant(SERVICE));
+    }
+
     /** Advances the virtual time and runs the check after each step. */
     void run(long millis, Runnable check) {
         long end = now + Timing.millisToNanos(millis);
--- a/verbenamast-core/src/test/java/org/verbenamast/core/relay/VirtualRelay.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/relay/VirtualRelay.java
@@ -35,6 +35,7 @@
 import org.verbenamast.core.rows.StoreEffect;
 import org.verbenamast.core.rows.StorePurpose;
 import org.verbenamast.core.rows.StoreResult;
+import org.verbenamast.core.rows.StoreVersion;
 import org.verbenamast.core.rows.StoredRow;
 import org.verbenamast.core.rows.VirtualRows;
 import org.verbenamast.core.store.StoreFailure;
@@ -61,6 +62,7 @@
     private final List<ScheduledTask> tasks = new ArrayList<>();
     private final Map<Long, NoticeEffect> answers = new HashMap<>();
     private final List<StoreEffect.Commit> commits = new ArrayList<>();
+    private List<OperatorRow> operatorRows;
     private RelayCore core;
     private TableAnswers tables;
     private boolean storeReachable = true;
@@ -74,6 +76,7 @@
 
     VirtualRelay(boolean keyed) {
         this.keyed = keyed;
+        this.operatorRows = List.of(new OperatorRow.ManifestRow(1, manifest(1)));
         startProcess();
     }
 
@@ -170,33 +173,59 @@
         } else if (read.table() == FollowedTable.SHARED) {
             tables.onSharedRows(result, store.followedRows(), now, this::execute);
         } else {
-            tables.onOperatorRows(result, List.of(new OperatorRow.ManifestRow(1, manifest())), now, this::execute);
+            tables.onOperatorRows(result, operatorRows, now, this::execute);
         }
     }
 
     /** Answers a call that waits for changes, with the changed rows or at the end of its wait. */
     private void answer(FollowEffect.Await await, long until) {
-        List<StoredRow> changed = await.table() == FollowedTable.SHARED
-                ? store.followedRows().stream()
-                        .filter(row -> row.version() > await.afterVersion())
-                        .toList()
-                : List.of();
-        if (changed.isEmpty() && now < until) {
+        if (StoreVersion.ofPacked(await.afterVersion()).era() < store.era()) {
+            onGone(await);
+            return;
+        }
+        boolean shared = await.table() == FollowedTable.SHARED;
+        List<StoredRow> changed = store.followedRows().stream()
+                .filter(row -> shared && row.version() > await.afterVersion())
+                .toList();
+        List<OperatorRow> written = operatorRows.stream()
+                .filter(row -> !shared && row.version() > await.afterVersion())
+                .toList();
+        boolean empty = changed.isEmpty() && written.isEmpty();
+        if (empty && now < until) {
             schedule(STORE_MILLIS, () -> answer(await, until));
             return;
         }
-        FollowInput input = FollowInput.ofAnswer(store.version(), 0, changed.isEmpty());
+        FollowInput input = FollowInput.ofAnswer(store.version(), 0, empty);
         FollowResult result = new FollowResult(await.table(), await.callId(), FollowEvent.CHANGED, input);
-        if (await.table() == FollowedTable.SHARED) {
+        if (shared) {
             tables.onSharedRows(result, changed, now, this::execute);
         } else {
-            tables.onOperatorRows(result, List.of(), now, this::execute);
+            tables.onOperatorRows(result, written, now, this::execute);
         }
     }
 
-    private Manifest manifest() {
+    /** Answers a call that follows a version of a former era; one that was pending in that era is never answered. */
+    private void onGone(FollowEffect.Await await) {
+        if (storeReachable) {
+            FollowResult gone =
+                    new FollowResult(await.table(), await.callId(), FollowEvent.HISTORY_GONE, FollowInput.NONE);
+            core.follow().onEra(store.era(), now, this::execute);
+            core.follow().onCallEnded(gone, now, this::execute);
+        }
+    }
+
+    /** Sets all rows of the operators' table. */
+    void setOperatorRows(OperatorRow... rows) {
+        operatorRows = List.of(rows);
+    }
+
+    Manifest manifest(long version) {
         return new Manifest(
-                1, List.of(), List.of(new ServiceRules(SERVICE, 100, 0, keyed)), RequestLimits.DEFAULT, List.of());
+                version,
+                List.of(),
+                List.of(new ServiceRules(SERVICE, 100, 0, keyed)),
+                RequestLimits.DEFAULT,
+                List.of());
     }
 
     Heartbeat heartbeatWithoutKeys(ServerIncarnation incarnation, ServerState state) {
--- a/verbenamast-core/src/test/java/org/verbenamast/core/rows/VirtualRows.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/rows/VirtualRows.java
@@ -5,6 +5,8 @@
 import java.util.Map;
 import java.util.Optional;
 
+import org.verbenamast.core.store.StoreFailure;
+
 /** The store in memory: conditional transactions and one version counter for all rows. */
 public final class VirtualRows {
 
@@ -16,7 +18,35 @@
         return effect instanceof StoreEffect.Commit commit ? commit(commit) : read(((StoreEffect.Read) effect).refs());
     }
 
+    /** The store as of a moment. */
+    public record Copy(Map<RowRef, StoredRow> rows, long version) {}
+
+    /** Copies the store. */
+    public Copy copy() {
+        return new Copy(Map.copyOf(rows), version);
+    }
+
+    /** Begins a new era with what a copy has: all that was written since is lost, and versions are given out again. */
+    public void comeBackFrom(Copy copy) {
+        long era = era() + 1;
+        rows.clear();
+        copy.rows().forEach((ref, row) -> rows.put(ref, new StoredRow(ref, inEra(era, row.version()), row.content())));
+        version = inEra(era, copy.version());
+    }
+
+    private static long inEra(long era, long version) {
+        return new StoreVersion(era, StoreVersion.ofPacked(version).number()).packed();
+    }
+
+    /** Returns the era. */
+    public long era() {
+        return StoreVersion.ofPacked(version).era();
+    }
+
     private StoreResult commit(StoreEffect.Commit commit) {
+        if (!new StoreEra(era()).covers(commit)) {
+            return new StoreResult.Failed(StoreFailure.NO_ANSWER);
+        }
         List<RowRef> refs = commit.changes().stream().map(RowChange::ref).toList();
         for (RowChange change : commit.changes()) {
             if (read(change.ref()).expectedVersion() != change.expectedVersion()) {
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
@@ -235,6 +235,13 @@
         return core.knownRow(ref);
     }
 
+    @Override
+    public void onStoreEra(long era) {
+        LOG.warn("the store has come back from an older copy; its era is now {}", era);
+        loop.run((now, effects) -> core.follow().onEra(era, now, effects));
+        loop.run(core::advance);
+    }
+
     @Override
     public void onStoreResult(StorePurpose purpose, long callId, StoreResult result) {
         counts.recordStoreCall(purpose.name(), result.getClass().getSimpleName());
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreCall.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreCall.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.util.Objects;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 import io.activej.eventloop.Eventloop;
@@ -15,6 +16,8 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.verbenamast.core.node.Timing;
+import org.verbenamast.core.rows.StoreVersion;
+import org.verbenamast.platform.StoreMessage;
 import org.verbenamast.relay.RelayLoop;
 import org.verbenamast.relay.net.HttpLink;
 
@@ -46,6 +49,7 @@
     private long sentAt;
     private long timerDueAt;
     private int status;
+    private OptionalLong era = OptionalLong.empty();
     private boolean ended;
 
     /**
@@ -133,12 +137,23 @@
     @Override
     public void onHead(HttpResponse head) {
         status = head.status().code();
+        era = era(head);
         recordPart(0);
         if (HttpUtil.getContentLength(head, 0L) > maxBytes) {
             onOversized();
         }
     }
 
+    private static OptionalLong era(HttpResponse head) {
+        String told = head.headers().get(StoreMessage.ERA_HEADER);
+        OptionalLong read = StoreMessage.era(told);
+        if (told != null && (read.isEmpty() || !StoreVersion.isValid(read.getAsLong(), 0))) {
+            LOG.warn("the store tells an era that can't be read, the known one stays: {}", told);
+            return OptionalLong.empty();
+        }
+        return read;
+    }
+
     @Override
     public void onBody(byte[] bytes) {
         recordPart(bytes.length);
@@ -160,7 +175,7 @@
         link = null;
         used.release();
         reuse.accept(used);
-        end(new StoreResponse(status, body.toByteArray(), timing));
+        end(new StoreResponse(status, era, body.toByteArray(), timing));
     }
 
     @Override
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreClient.java
@@ -15,7 +15,9 @@
 import org.verbenamast.core.model.Address;
 import org.verbenamast.core.rows.RowRef;
 import org.verbenamast.core.rows.StoreEffect;
+import org.verbenamast.core.rows.StoreEra;
 import org.verbenamast.core.rows.StoreResult;
+import org.verbenamast.core.rows.StoreVersion;
 import org.verbenamast.core.rows.StoredRow;
 import org.verbenamast.core.store.StoreFailure;
 import org.verbenamast.core.watch.FollowEffect;
@@ -42,6 +44,7 @@
     private final StoreConnectionPool connections;
     private final StoreObserver observer;
     private final Map<WaitingCall, StoreCall> waiting = new HashMap<>();
+    private StoreEra era = StoreEra.NONE;
 
     private record WaitingCall(FollowedTable table, long callId) {}
 
@@ -68,7 +71,24 @@
         result.whenResult(received -> observer.onStoreResult(effect.purpose(), effect.callId(), received));
     }
 
+    /** Records the era of a response. One of a former era counts as lost. */
+    private StoreResponse current(StoreResponse response) {
+        if (!era.accepts(response.era())) {
+            LOG.warn("ignoring a response of the store's former era {}", response.era());
+            return StoreResponse.missing(response.timing());
+        }
+        StoreEra next = era.after(response.era());
+        if (!next.equals(era)) {
+            era = next;
+            observer.onStoreEra(era.number());
+        }
+        return response;
+    }
+
     private Promise<StoreResult> commit(StoreEffect.Commit commit) {
+        if (!era.covers(commit)) {
+            return Promise.of(new StoreResult.Failed(StoreFailure.UNAVAILABLE));
+        }
         List<RawRow> expected =
                 commit.changes().stream().map(StoreRows::expectedRow).toList();
         List<RawRow> writes = commit.changes().stream()
@@ -78,9 +98,14 @@
         return connections
                 .send(StoreMessage.commit(expected, writes), CALL_TIMEOUT_MILLIS)
                 .response()
+                .map(this::current)
                 .map(response -> {
+                    if (!era.covers(commit)) {
+                        return new StoreResult.Failed(StoreFailure.NO_ANSWER);
+                    }
                     if (response.ok()) {
                         return StoreMessage.committed(response.body())
+                                .flatMap(version -> StoreRows.inEra(era, version))
                                 .<StoreResult>fold(this::unreadable, StoreResult.Committed::new);
                     }
                     if (response.conflict()) {
@@ -116,17 +141,21 @@
     private Promise<StoreResult> read(StoreEffect.Read read) {
         RowRef ref = read.refs().get(0);
         StoreMessage.Call call = StoreMessage.read(StoreRows.tableOf(ref.table()), StoreRows.keyOf(ref), 1);
-        return connections.send(call, CALL_TIMEOUT_MILLIS).response().map(response -> {
-            if (!response.ok()) {
-                return new StoreResult.Failed(response.failure());
-            }
-            return readableRows(response).<StoreResult>fold(this::unreadable, rows -> {
-                List<StoredRow> found = StoreRows.decode(rows.rows()).stream()
-                        .filter(row -> row.ref().equals(ref))
-                        .toList();
-                return new StoreResult.Read(withMissing(List.of(ref), found, rows.version()));
-            });
-        });
+        return connections
+                .send(call, CALL_TIMEOUT_MILLIS)
+                .response()
+                .map(this::current)
+                .map(response -> {
+                    if (!response.ok()) {
+                        return new StoreResult.Failed(response.failure());
+                    }
+                    return readableRows(response).<StoreResult>fold(this::unreadable, rows -> {
+                        List<StoredRow> found = StoreRows.decode(rows.rows()).stream()
+                                .filter(row -> row.ref().equals(ref))
+                                .toList();
+                        return new StoreResult.Read(withMissing(List.of(ref), found, rows.version()));
+                    });
+                });
     }
 
     /**
@@ -151,6 +180,7 @@
                         StoreMessage.read(TableRows.of(all.table()).storeTable(), fromKey, MAX_PAGE_ROWS),
                         all.timeoutMillis())
                 .response()
+                .map(this::current)
                 .whenResult(response -> endCall(all.table(), all.callId(), () -> onPage(all, previous, response)));
     }
 
@@ -167,6 +197,10 @@
     private void onPage(FollowEffect.ReadAll all, TablePages previous, StoreResponse response) {
         long receivedAt = RelayLoop.now();
         Either<PlatformFault, Rows> rows = rowsOf(response);
+        if (rows.isRight() && !previous.isOf(era)) {
+            rows = Either.left(
+                    new PlatformFault("store answer", PlatformFault.Kind.UNREADABLE, "the pages are of two eras"));
+        }
         if (rows.isLeft()) {
             ResponseTiming timing = previous.timing().withNextPage(response.timing());
             FollowLog.failed(all.table(), all.callId(), 0, rows.getLeft().detail(), timing);
@@ -191,8 +225,10 @@
         return readableRows(response);
     }
 
-    private static Either<PlatformFault, Rows> readableRows(StoreResponse response) {
-        Either<PlatformFault, Rows> rows = StoreMessage.rows(response.body());
+    /** Decodes rows, whose versions are of the store's era. */
+    private Either<PlatformFault, Rows> readableRows(StoreResponse response) {
+        Either<PlatformFault, Rows> rows =
+                StoreMessage.rows(response.body()).flatMap(read -> StoreRows.inEra(era, read));
         rows.peek(read -> read.skipped().forEach(fault -> LOG.warn("skipping a row of the store: {}", fault)));
         return rows;
     }
@@ -204,13 +240,15 @@
     private void awaitChanges(FollowEffect.Await await) {
         FollowedTable table = await.table();
         WaitingCall key = new WaitingCall(table, await.callId());
-        StoreMessage.Call message =
-                StoreMessage.follow(TableRows.of(table).storeTable(), await.afterVersion(), await.waitMillis());
+        StoreMessage.Call message = StoreMessage.follow(
+                TableRows.of(table).storeTable(),
+                StoreVersion.ofPacked(await.afterVersion()).number(),
+                await.waitMillis());
         StoreCall call = connections
                 .send(message, await.timeoutMillis(), await.maxBytes())
                 .whenArriving(() -> observer.onAnswerArriving(table, await.callId()));
         waiting.put(key, call);
-        call.response().whenResult(response -> {
+        call.response().map(this::current).whenResult(response -> {
             waiting.remove(key);
             endCall(table, await.callId(), () -> onChanges(await, response));
         });
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreObserver.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreObserver.java
@@ -21,6 +21,13 @@
      */
     StoredRow knownRow(RowRef ref);
 
+    /**
+     * Handles a higher era than any that the store has told before: it has come back from an older copy.
+     *
+     * @param era the era
+     */
+    void onStoreEra(long era);
+
     /**
      * Handles the result of a call that a decision asked for.
      *
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreRows.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/StoreRows.java
@@ -5,14 +5,19 @@
 import java.util.Optional;
 import java.util.function.Function;
 
+import io.vavr.control.Either;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.verbenamast.core.rows.RowChange;
 import org.verbenamast.core.rows.RowRef;
 import org.verbenamast.core.rows.RowTable;
+import org.verbenamast.core.rows.StoreEra;
+import org.verbenamast.core.rows.StoreVersion;
 import org.verbenamast.core.rows.StoredRow;
 import org.verbenamast.core.rows.UnreadableRow;
+import org.verbenamast.platform.PlatformFault;
 import org.verbenamast.platform.StoreMessage.RawRow;
+import org.verbenamast.platform.StoreMessage.Rows;
 import org.verbenamast.wire.relay.RelayRows;
 
 /** Converts rows between the form used by decisions and that of the store. */
@@ -37,7 +42,11 @@
 
     static RawRow expectedRow(RowChange change) {
         RowRef ref = change.ref();
-        return new RawRow(tableOf(ref.table()), keyOf(ref), change.expectedVersion(), Optional.empty());
+        return new RawRow(
+                tableOf(ref.table()),
+                keyOf(ref),
+                StoreVersion.ofPacked(change.expectedVersion()).number(),
+                Optional.empty());
     }
 
     static RawRow writtenRow(RowChange change) {
@@ -45,6 +54,26 @@
         return new RawRow(tableOf(ref.table()), keyOf(ref), 0, change.content().map(RelayRows::encode));
     }
 
+    /** Returns the version of a number that the store told in an era, or the fault if no version has this number. */
+    static Either<PlatformFault, Long> inEra(StoreEra era, long number) {
+        return StoreVersion.isValid(era.number(), number)
+                ? Either.right(new StoreVersion(era.number(), number).packed())
+                : Either.left(new PlatformFault("store answer", PlatformFault.Kind.UNREADABLE, "version " + number));
+    }
+
+    /** Returns rows that the store told in an era with their versions, or the fault if a row can't have its number. */
+    static Either<PlatformFault, Rows> inEra(StoreEra era, Rows told) {
+        List<RawRow> rows = new ArrayList<>();
+        for (RawRow row : told.rows()) {
+            Either<PlatformFault, Long> version = inEra(era, row.version());
+            if (version.isLeft()) {
+                return Either.left(version.getLeft());
+            }
+            rows.add(new RawRow(row.table(), row.key(), version.get(), row.value()));
+        }
+        return inEra(era, told.version()).map(version -> new Rows(rows, told.skipped(), version, told.more()));
+    }
+
     /** Decodes rows; logs and skips those with an unknown key, and logs those whose content is unreadable. */
     static List<StoredRow> decode(List<RawRow> raw) {
         return decode(raw, ref -> new StoredRow(ref, 0, Optional.empty()));
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/store/TablePages.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/store/TablePages.java
@@ -4,6 +4,8 @@
 import java.util.Objects;
 import java.util.stream.Stream;
 
+import org.verbenamast.core.rows.StoreEra;
+import org.verbenamast.core.rows.StoreVersion;
 import org.verbenamast.core.watch.FollowInput;
 import org.verbenamast.platform.StoreMessage.RawRow;
 import org.verbenamast.platform.StoreMessage.Rows;
@@ -29,6 +31,11 @@
         return new TablePages(all, rows.isEmpty() ? page.version() : version, timing.withNextPage(pageTiming));
     }
 
+    /** Returns whether another page of an era belongs to these pages. */
+    boolean isOf(StoreEra era) {
+        return rows.isEmpty() || StoreVersion.ofPacked(version).era() == era.number();
+    }
+
     /** Returns the pages as one answer. */
     FollowInput answer() {
         return FollowInput.ofAnswer(version, 0, false).withBytes(timing.bytes());
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/relay/RelayFrames.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/relay/RelayFrames.java
@@ -22,6 +22,7 @@
 import org.verbenamast.core.rows.RowContent;
 import org.verbenamast.core.rows.RowRef;
 import org.verbenamast.core.rows.RowTable;
+import org.verbenamast.core.rows.StoreVersion;
 import org.verbenamast.core.rows.StoredRow;
 import org.verbenamast.core.watch.StoreVersions;
 import org.verbenamast.wire.WireException;
@@ -167,25 +168,39 @@
     }
 
     private static RelayNews news(StoreVersions news) {
+        long era = Math.max(
+                StoreVersion.ofPacked(news.operatorsVersion()).era(),
+                StoreVersion.ofPacked(news.sharedVersion()).era());
         return RelayNews.newBuilder()
-                .setOperatorsVersion(news.operatorsVersion())
+                .setOperatorsVersion(numberIn(era, news.operatorsVersion()))
                 .setOperatorsAgeMillis(news.operatorsAgeMillis())
-                .setSharedVersion(news.sharedVersion())
+                .setSharedVersion(numberIn(era, news.sharedVersion()))
+                .setStoreEra(era)
                 .build();
     }
 
+    /** Returns the number of a version; 0 if it is of a former era, so that it tells nothing. */
+    private static long numberIn(long era, long version) {
+        StoreVersion known = StoreVersion.ofPacked(version);
+        return known.era() == era ? known.number() : 0;
+    }
+
     /**
      * Decodes what a sender knows of the followed tables.
      *
      * @param news the message
-     * @return the news; numbers below 0, which no node sends, tell nothing
+     * @return the news; numbers that no node sends, such as those below 0, tell nothing
      */
     public static StoreVersions news(RelayNews news) {
-        boolean valid =
-                Math.min(news.getOperatorsVersion(), Math.min(news.getOperatorsAgeMillis(), news.getSharedVersion()))
-                        >= 0;
+        long era = news.getStoreEra();
+        boolean valid = news.getOperatorsAgeMillis() >= 0
+                && StoreVersion.isValid(era, news.getOperatorsVersion())
+                && StoreVersion.isValid(era, news.getSharedVersion());
         return valid
-                ? new StoreVersions(news.getOperatorsVersion(), news.getOperatorsAgeMillis(), news.getSharedVersion())
+                ? new StoreVersions(
+                        new StoreVersion(era, news.getOperatorsVersion()).packed(),
+                        news.getOperatorsAgeMillis(),
+                        new StoreVersion(era, news.getSharedVersion()).packed())
                 : StoreVersions.NONE;
     }
 
@@ -233,11 +248,15 @@
     public static RelayFrame rows(List<StoredRow> rows) {
         org.verbenamast.wire.generated.RelayRows.Builder message =
                 org.verbenamast.wire.generated.RelayRows.newBuilder();
+        message.setStoreEra(rows.stream()
+                .mapToLong(row -> StoreVersion.ofPacked(row.version()).era())
+                .max()
+                .orElse(0));
         for (StoredRow row : rows) {
             RelayRow.Builder each = RelayRow.newBuilder()
                     .setTable(row.ref().table().label())
                     .setKey(row.ref().key())
-                    .setVersion(row.version())
+                    .setVersion(numberIn(message.getStoreEra(), row.version()))
                     .setGone(row.content().isEmpty());
             row.content().ifPresent(content -> each.setValue(ByteString.copyFrom(RelayRows.encode(content))));
             message.addRows(each);
@@ -264,8 +283,9 @@
                     .map(table -> new RowRef(table, row.getKey()))
                     .ifPresentOrElse(
                             ref -> {
-                                if (known.apply(ref).version() < row.getVersion()) {
-                                    content(ref, row, refused).ifPresent(rows::add);
+                                if (known.apply(ref).version() < versionOf(message, row)) {
+                                    content(ref, row, versionOf(message, row), refused)
+                                            .ifPresent(rows::add);
                                 }
                             },
                             () -> refused.accept(WireException.shouldBeReadableRow(row.getKey(), "unknown table")));
@@ -273,13 +293,21 @@
         return rows;
     }
 
-    private static Optional<StoredRow> content(RowRef ref, RelayRow row, Consumer<WireException> refused) {
+    /** Returns the version of a row; 0 if its number or era is none, so that it replaces nothing. */
+    private static long versionOf(org.verbenamast.wire.generated.RelayRows message, RelayRow row) {
+        return StoreVersion.isValid(message.getStoreEra(), row.getVersion())
+                ? new StoreVersion(message.getStoreEra(), row.getVersion()).packed()
+                : 0;
+    }
+
+    private static Optional<StoredRow> content(
+            RowRef ref, RelayRow row, long version, Consumer<WireException> refused) {
         if (row.getGone()) {
-            return Optional.of(new StoredRow(ref, row.getVersion(), Optional.empty()));
+            return Optional.of(new StoredRow(ref, version, Optional.empty()));
         }
         Either<WireException, RowContent> content =
                 RelayRows.decode(ref, row.getValue().toByteArray());
         content.peekLeft(refused);
-        return content.toJavaOptional().map(read -> new StoredRow(ref, row.getVersion(), Optional.of(read)));
+        return content.toJavaOptional().map(read -> new StoredRow(ref, version, Optional.of(read)));
     }
 }
--- a/verbenamast-wire/src/test/java/org/verbenamast/wire/relay/RelayFramesTest.java
+++ b/verbenamast-wire/src/test/java/org/verbenamast/wire/relay/RelayFramesTest.java
@@ -29,6 +29,7 @@
 import org.verbenamast.core.roster.ServerState;
 import org.verbenamast.core.rows.RowRef;
 import org.verbenamast.core.rows.RowTable;
+import org.verbenamast.core.rows.StoreVersion;
 import org.verbenamast.core.rows.StoredRow;
 import org.verbenamast.core.watch.StoreVersions;
 import org.verbenamast.wire.WireException;
@@ -189,4 +190,38 @@
         assertThat(RelayFrames.news(forged)).isEqualTo(StoreVersions.NONE);
         assertThat(RelayFrames.news(RelayNews.getDefaultInstance())).isEqualTo(StoreVersions.NONE);
     }
+
+    @Test
+    void should_keep_the_era_when_versions_and_rows_are_told() {
+        // given
+        StoreVersions news = new StoreVersions(new StoreVersion(3, 40).packed(), 7, new StoreVersion(3, 41).packed());
+        List<StoredRow> rows = List.of(new StoredRow(
+                new RowRef(RowTable.MEMBERS, "node-1"), new StoreVersion(3, 4).packed(), Optional.of(MEMBER)));
+
+        // then
+        AdmissionLoad load = new AdmissionLoad(3, 4, 9, 120, true, false);
+        RelayNews told = RelayFrames.refused(Refusal.COLD, 250, load, news)
+                .getRefused()
+                .getLoad()
+                .getNews();
+        assertThat(told.getOperatorsVersion()).isEqualTo(40);
+        assertThat(RelayFrames.news(told)).isEqualTo(news);
+        assertThat(RelayFrames.rows(RelayFrames.rows(rows).getRows(), UNKNOWN, fault -> {}))
+                .isEqualTo(rows);
+    }
+
+    @Test
+    void should_tell_nothing_when_an_era_is_none_that_a_version_can_be_of() {
+        RelayNews forged = RelayNews.newBuilder()
+                .setOperatorsVersion(7)
+                .setStoreEra(StoreVersion.MAX_ERA + 1)
+                .build();
+        RelayRows message = RelayRows.newBuilder()
+                .setStoreEra(-1)
+                .addRows(RelayRow.newBuilder().setTable("members").setKey("k").setVersion(1))
+                .build();
+
+        assertThat(RelayFrames.news(forged)).isEqualTo(StoreVersions.NONE);
+        assertThat(RelayFrames.rows(message, UNKNOWN, fault -> {})).isEmpty();
+    }
 }
