Test of a refused connection: the accepting thread has ended before the call begins

The thread that waits in accept keeps the listening socket open until it is woken, although the socket was closed. The check is unchanged.

--- a/verbenamast-relay/src/test/java/org/verbenamast/relay/backend/BackendCallTest.java
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/backend/BackendCallTest.java
@@ -49,11 +49,13 @@
     /** Guards against bodies that fill the memory of the node while its server accepts no connection. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
-    void should_accept_no_more_of_a_body_when_a_connection_is_being_opened(boolean accepted) throws IOException {
+    void should_accept_no_more_of_a_body_when_a_connection_is_being_opened(boolean accepted) throws Exception {
         // given
         serve((number, out) -> out.write(failure(1)));
         if (!accepted) {
             listener.close();
+            // Connections are accepted until the thread that waits for them has noticed the close.
+            threads.get(0).join();
         }
         Call call = new Call();
         List<Promise<Void>> rooms = new ArrayList<>();
