--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryAction.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryAction.java
@@ -2,6 +2,7 @@
 
 import org.verbenamast.core.chart.Action;
 import org.verbenamast.core.effect.Effects;
+import org.verbenamast.core.roster.Member;
 
 /** The actions in the chart of a request at its entry node. */
 public enum EntryAction implements Action<EntryData, EntryInput> {
@@ -9,9 +10,50 @@
     OPEN_ATTEMPT {
         @Override
         public EntryData apply(EntryData data, EntryInput input, long now, Effects effects) {
-            EntryData next = data.withOpenedAttempt(input.target().orElseThrow());
+            EntryData next = data.withOpenedAttempt(input.target().orElseThrow(), now);
             effects.emit(new EntryEffect.OpenAttempt(
-                    data.request().id(), next.target().orElseThrow(), input.lastChance()));
+                    data.request().id(),
+                    next.openedAttempts(),
+                    next.target().orElseThrow(),
+                    input.lastChance(),
+                    false));
+            return next;
+        }
+    },
+    /** Opens a second attempt at the selected member, beside the open one. */
+    OPEN_HEDGE {
+        @Override
+        public EntryData apply(EntryData data, EntryInput input, long now, Effects effects) {
+            Member target = input.target().orElseThrow();
+            EntryData next = data.withHedge(target, now);
+            effects.emit(new EntryEffect.OpenAttempt(data.request().id(), next.openedAttempts(), target, false, true));
+            return next;
+        }
+    },
+    /** Records the refusal of one of two open attempts; the other one goes on. */
+    RECORD_REFUSAL_OF_ONE {
+        @Override
+        public EntryData apply(EntryData data, EntryInput input, long now, Effects effects) {
+            return data.withMain(input.attempt())
+                    .withRefusal(input.refusal(), input.retryAfterMillis())
+                    .withHedgeAlone();
+        }
+    },
+    /** Records that one of two open attempts has ended and may have run; the other one goes on. */
+    RECORD_UNCERTAIN_END_OF_ONE {
+        @Override
+        public EntryData apply(EntryData data, EntryInput input, long now, Effects effects) {
+            EntryData next = data.withMain(input.attempt()).withUncertainSend().withHedgeAlone();
+            keep(next, effects);
+            return next;
+        }
+    },
+    /** Withdraws all open attempts but the one that was answered. */
+    KEEP_ANSWERED {
+        @Override
+        public EntryData apply(EntryData data, EntryInput input, long now, Effects effects) {
+            EntryData next = data.withMain(input.attempt());
+            keep(next, effects);
             return next;
         }
     },
@@ -43,7 +85,7 @@
             return data.withoutBody();
         }
     },
-    /** Withdraws the open attempt. */
+    /** Withdraws all open attempts. */
     WITHDRAW {
         @Override
         public EntryData apply(EntryData data, EntryInput input, long now, Effects effects) {
@@ -99,6 +141,11 @@
     /** Number of steps over which retry delays are spread, so that refused callers do not all retry at once. */
     private static final long RETRY_SPREAD_STEPS = 16;
 
+    private static void keep(EntryData data, Effects effects) {
+        int number = data.attempts().main().orElseThrow().number();
+        effects.emit(new EntryEffect.Keep(data.request().id(), number));
+    }
+
     /** Spreads retry delays evenly from one to two times the expected delay, by a hash of the attempt id. */
     private static long spreadRetryMillis(EntryData data, long millis) {
         long step = Math.floorMod(data.request().attemptId().hashCode(), RETRY_SPREAD_STEPS);
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryController.java
@@ -1,12 +1,11 @@
 package org.verbenamast.core.entry;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.function.DoubleSupplier;
+import java.util.function.Predicate;
 
 import org.verbenamast.core.admission.AdmissionLoad;
 import org.verbenamast.core.admission.Refusal;
@@ -18,11 +17,7 @@
 import org.verbenamast.core.effect.Effects;
 import org.verbenamast.core.gate.crash.CrashReportController;
 import org.verbenamast.core.gate.crash.Fingerprint;
-import org.verbenamast.core.model.MemberId;
 import org.verbenamast.core.model.Zone;
-import org.verbenamast.core.request.TokenBudget;
-import org.verbenamast.core.request.peer.HealthController;
-import org.verbenamast.core.request.peer.HealthEvent;
 import org.verbenamast.core.roster.Member;
 import org.verbenamast.core.roster.Roster;
 import org.verbenamast.core.rows.RowReplica;
@@ -38,20 +33,15 @@
     public static final Vocabulary<EntryEvent, EntryGuard, EntryAction, EntryTimer, EntryTag> VOCABULARY =
             new Vocabulary<>(EntryEvent.class, EntryGuard.class, EntryAction.class, EntryTimer.class, EntryTag.class);
 
-    /** Sends to a second server that a thousand requests pay for; half of what the platform allows. */
-    private static final long REPEATS_PER_MILLE = 100;
-    /** Sends to a second server that are paid for at start; all nodes together stay below the platform's tolerance. */
-    private static final long REPEAT_RESERVE = 2;
-
     /** Attempt, counted from one, from which on a request may be queued even if it can't meet its objective. */
     private static final int LAST_CHANCE_ATTEMPT = 3;
 
     private final ChartInstances<Long, EntryEvent, EntryData, EntryInput> requests;
     private final TargetSelector selector;
     private final CrashReportController crashReports;
-    private final MemberLoads loads = new MemberLoads();
-    private final HealthController health;
-    private final Map<String, TokenBudget> budgets = new HashMap<>();
+    private final MemberContacts contacts;
+    private final RepeatBudgets budgets;
+    private final EntryHedges hedges;
 
     /**
      * Creates a controller without requests.
@@ -60,6 +50,8 @@
      * @param roster the members
      * @param replica this node's copy of the stored rows
      * @param crashReports determines which requests crash servers
+     * @param hedgesPerMille the requests that may be sent to a second server because the first one is late, for each
+     *     thousand; 0 for none
      * @param random a source of numbers that are evenly distributed from 0 (inclusive) to 1 (exclusive)
      * @param listener notified of each transition of a request
      */
@@ -68,11 +60,15 @@
             Roster roster,
             RowReplica replica,
             CrashReportController crashReports,
+            long hedgesPerMille,
             DoubleSupplier random,
             TransitionListener listener) {
         Objects.requireNonNull(listener, "listener");
         this.crashReports = Objects.requireNonNull(crashReports, "crashReports");
-        this.health = new HealthController(TransitionListener.NONE);
+        this.budgets = new RepeatBudgets(hedgesPerMille);
+        this.hedges = new EntryHedges(hedgesPerMille);
+        MemberLoads loads = new MemberLoads();
+        this.contacts = new MemberContacts(loads);
         this.selector = new TargetSelector(zone, roster, replica, loads, member -> !isReachable(member), random);
         this.requests = new ChartInstances<>(
                 ChartReader.bundled("entry-request", VOCABULARY), event -> EntryInput.NONE, listener);
@@ -85,7 +81,7 @@
      * @return false after repeated sends that did not reach the member
      */
     public boolean isReachable(Member member) {
-        return !health.isParked(healthIdOf(member));
+        return contacts.isReachable(member);
     }
 
     /**
@@ -95,11 +91,7 @@
      * @param now the monotonic time, in nanoseconds
      */
     public void onIncarnationChanged(Member member, long now) {
-        health.onEvent(healthIdOf(member), HealthEvent.ENDED, now);
-    }
-
-    private static MemberId healthIdOf(Member member) {
-        return new MemberId(member.node(), 1);
+        contacts.onIncarnationChanged(member, now);
     }
 
     /**
@@ -111,20 +103,16 @@
      * @param effects receives the effects
      */
     public void onCallerRequest(EntryRequest request, Fingerprint content, long now, Effects effects) {
-        requests.begin(request.id(), EntryData.initial(request), now);
+        requests.begin(request.id(), EntryData.initial(request, hedges.delayNanos(request)), now);
         if (crashReports.isStopped(content, now)) {
             EntryInput refused = EntryInput.routed(Optional.empty(), true, Refusal.SUSPECT);
             requests.fire(request.id(), EntryEvent.ROUTED, refused, now, effects);
             return;
         }
-        budget(request.service()).deposit();
+        budgets.deposit(request.service());
         route(request.id(), now, effects);
     }
 
-    private TokenBudget budget(String service) {
-        return budgets.computeIfAbsent(service, name -> new TokenBudget(REPEATS_PER_MILLE, REPEAT_RESERVE));
-    }
-
     private void route(long id, long now, Effects effects) {
         Instance<EntryData> instance = requests.find(id);
         while (instance != null && instance.hasTag(EntryTag.ROUTING)) {
@@ -132,7 +120,7 @@
             instance = requests.find(id);
         }
         if (instance != null) {
-            recordSend(instance, now);
+            instance.data().target().ifPresent(member -> contacts.onSent(member, now));
         }
     }
 
@@ -166,17 +154,11 @@
         return EntryInput.routed(owner, true, Refusal.NO_SERVER);
     }
 
-    private void recordSend(Instance<EntryData> instance, long now) {
-        instance.data().target().ifPresent(member -> {
-            loads.onSent(member.node(), now);
-            health.onEvent(healthIdOf(member), HealthEvent.SENT, now);
-        });
-    }
-
     /**
      * Handles a refusal by the node beside a server.
      *
      * @param id the request's number
+     * @param attempt the number of the attempt
      * @param reason why the request was refused
      * @param retryAfterMillis the expected time until the server has room, in milliseconds; 0 if unknown
      * @param load the current load of the server
@@ -184,19 +166,25 @@
      * @param effects receives the effects
      */
     public void onRefused(
-            long id, Refusal reason, long retryAfterMillis, AdmissionLoad load, long now, Effects effects) {
+            long id,
+            int attempt,
+            Refusal reason,
+            long retryAfterMillis,
+            AdmissionLoad load,
+            long now,
+            Effects effects) {
         Instance<EntryData> instance = requests.find(id);
         if (instance == null) {
             return;
         }
-        Member member = instance.data().target().orElseThrow();
-        loads.onLoadReport(member.node(), load, now);
+        Member member = instance.data().attempts().find(attempt).target();
+        contacts.onLoadReport(member, load, now);
         // The address of a lost host may have been reassigned to a host that refuses requests for the former server.
-        boolean reached = reason != Refusal.WRONG_SERVER;
-        health.onEvent(healthIdOf(member), reached ? HealthEvent.SUCCEEDED : HealthEvent.FAILED, now);
+        contacts.onResult(member, reason != Refusal.WRONG_SERVER, now);
         boolean withinBudget = reason.countedSends() == 0
-                || budget(instance.data().request().service()).trySpend();
-        fire(id, EntryEvent.REFUSED, EntryInput.refused(reason, retryAfterMillis, withinBudget), now, effects);
+                || budgets.trySpend(instance.data().request().service());
+        EntryInput input = EntryInput.refused(reason, retryAfterMillis, withinBudget);
+        fire(id, EntryEvent.REFUSED, input.of(attempt), now, effects);
     }
 
     private void fire(long id, EntryEvent event, EntryInput input, long now, Effects effects) {
@@ -208,14 +196,16 @@
      * Handles the failure to reach the node beside a server; nothing was sent.
      *
      * @param id the request's number
+     * @param attempt the number of the attempt
      * @param now the monotonic time, in nanoseconds
      * @param effects receives the effects
      */
-    public void onUnreached(long id, long now, Effects effects) {
+    public void onUnreached(long id, int attempt, long now, Effects effects) {
         Instance<EntryData> instance = requests.find(id);
         if (instance != null) {
-            health.onEvent(healthIdOf(instance.data().target().orElseThrow()), HealthEvent.FAILED, now);
-            EntryInput input = EntryInput.refused(Refusal.NODE_UNREACHED, 0, true);
+            contacts.onResult(instance.data().attempts().find(attempt).target(), false, now);
+            EntryInput input =
+                    EntryInput.refused(Refusal.NODE_UNREACHED, 0, true).of(attempt);
             fire(id, EntryEvent.UNREACHED, input, now, effects);
         }
     }
@@ -224,24 +214,28 @@
      * Handles an attempt that ended without a usable answer after the request was sent, so that it may have run.
      *
      * @param id the request's number
+     * @param attempt the number of the attempt
      * @param linkLost whether the connection to the other node broke
      * @param now the monotonic time, in nanoseconds
      * @param effects receives the effects
      */
-    public void onBroken(long id, boolean linkLost, long now, Effects effects) {
+    public void onBroken(long id, int attempt, boolean linkLost, long now, Effects effects) {
         Instance<EntryData> instance = requests.find(id);
         if (instance == null) {
             return;
         }
         if (linkLost) {
-            health.onEvent(healthIdOf(instance.data().target().orElseThrow()), HealthEvent.FAILED, now);
+            contacts.onResult(instance.data().attempts().find(attempt).target(), false, now);
         }
-        fire(id, EntryEvent.BROKEN, EntryInput.answered(true, trySpendRepeat(instance.data())), now, effects);
+        EntryInput input = EntryInput.answered(true, trySpendRepeat(instance.data()));
+        fire(id, EntryEvent.BROKEN, input.of(attempt), now, effects);
     }
 
-    /** Pays for sending a request again, if it may run twice, and returns whether the budget allowed it. */
+    /** Pays for sending a request again, if it is going to be, and returns whether the budget allowed it. */
     private boolean trySpendRepeat(EntryData data) {
-        return data.isRepeatable() && budget(data.request().service()).trySpend();
+        return data.isRepeatable()
+                && data.attempts().hedge().isEmpty()
+                && budgets.trySpend(data.request().service());
     }
 
     /**
@@ -260,21 +254,26 @@
      * to the caller.
      *
      * @param id the request's number
+     * @param attempt the number of the attempt
      * @param failed whether the answer reports a failure of the server
      * @param load the current load of the server
      * @param now the monotonic time, in nanoseconds
      * @param effects receives the effects
      */
-    public void onAnswer(long id, boolean failed, AdmissionLoad load, long now, Effects effects) {
+    public void onAnswer(long id, int attempt, boolean failed, AdmissionLoad load, long now, Effects effects) {
         Instance<EntryData> instance = requests.find(id);
         if (instance == null) {
             return;
         }
-        Member member = instance.data().target().orElseThrow();
-        loads.onLoadReport(member.node(), load, now);
-        health.onEvent(healthIdOf(member), HealthEvent.SUCCEEDED, now);
+        SentAttempt answered = instance.data().attempts().find(attempt);
+        contacts.onLoadReport(answered.target(), load, now);
+        contacts.onResult(answered.target(), true, now);
+        if (!failed) {
+            hedges.recordAnswer(instance.data(), answered, now);
+        }
         boolean withinBudget = failed && trySpendRepeat(instance.data());
-        fire(id, EntryEvent.ANSWERED, EntryInput.answered(failed, withinBudget), now, effects);
+        EntryInput input = EntryInput.answered(failed, withinBudget);
+        fire(id, EntryEvent.ANSWERED, input.of(attempt), now, effects);
     }
 
     /**
@@ -307,14 +306,9 @@
      * @param effects receives the effects
      */
     public void onOwnersChanged(String service, long now, Effects effects) {
-        List<Long> askable = new ArrayList<>();
-        requests.forEach((id, instance) -> {
-            if (instance.hasTag(EntryTag.AWAITING_KEY)
-                    && instance.data().request().service().equals(service)
-                    && hasAskableOwner(instance.data())) {
-                askable.add(id);
-            }
-        });
+        List<Long> askable = idsOf(instance -> instance.hasTag(EntryTag.AWAITING_KEY)
+                && instance.data().request().service().equals(service)
+                && hasAskableOwner(instance.data()));
         askable.forEach(id -> fire(id, EntryEvent.OWNER_KNOWN, EntryInput.NONE, now, effects));
     }
 
@@ -333,15 +327,33 @@
      * @param effects receives the effects
      */
     public void advance(long now, Effects effects) {
-        health.advance(now);
+        contacts.advance(now);
         requests.advance(now, effects);
-        List<Long> routingIds = new ArrayList<>();
+        idsOf(instance -> instance.hasTag(EntryTag.ROUTING)).forEach(id -> route(id, now, effects));
+        idsOf(instance -> instance.hasTag(EntryTag.ROUTING_HEDGE)).forEach(id -> routeHedge(id, now, effects));
+    }
+
+    private List<Long> idsOf(Predicate<Instance<EntryData>> condition) {
+        List<Long> ids = new ArrayList<>();
         requests.forEach((id, instance) -> {
-            if (instance.hasTag(EntryTag.ROUTING)) {
-                routingIds.add(id);
+            if (condition.test(instance)) {
+                ids.add(id);
             }
         });
-        routingIds.forEach(id -> route(id, now, effects));
+        return ids;
+    }
+
+    private void routeHedge(long id, long now, Effects effects) {
+        EntryData data = requests.find(id).data();
+        Optional<Member> idle = selector.findIdle(
+                data.request().service(), data.request().route().kind(), data.triedNodesAndTarget(), now);
+        boolean isPaid =
+                idle.isPresent() && budgets.trySpendHedge(data.request().service());
+        EntryInput input = EntryInput.routed(isPaid ? idle : Optional.empty(), false, Refusal.NO_SERVER);
+        requests.fire(id, EntryEvent.HEDGE_ROUTED, input, now, effects);
+        if (isPaid) {
+            contacts.onSent(idle.get(), now);
+        }
     }
 
     /**
@@ -351,12 +363,7 @@
      * @param effects receives the effects
      */
     public void expireAll(long now, Effects effects) {
-        List<Long> ids = new ArrayList<>();
-        requests.forEach((id, instance) -> {
-            if (!instance.hasTag(EntryTag.DELIVERING)) {
-                ids.add(id);
-            }
-        });
+        List<Long> ids = idsOf(instance -> !instance.hasTag(EntryTag.DELIVERING));
         ids.forEach(id -> requests.fire(id, EntryEvent.TIME_OVER, EntryInput.NONE, now, effects));
     }
 
@@ -366,7 +373,7 @@
      * @return the monotonic time, in nanoseconds, at which {@link #advance} has work to do
      */
     public long nextDue() {
-        return Math.min(requests.nextDue(), health.nextDue());
+        return Math.min(requests.nextDue(), contacts.nextDue());
     }
 
     /**
@@ -375,7 +382,7 @@
      * @return the sends, summed over all services that callers have requested
      */
     public long repeatsLeft() {
-        return budgets.values().stream().mapToLong(TokenBudget::available).sum();
+        return budgets.available();
     }
 
     /**
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryData.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryData.java
@@ -13,9 +13,9 @@
  * server; the limit of a route counts only the attempts that reached one.
  *
  * @param request the request
- * @param target the member of the open attempt, or of the last one
+ * @param attempts the open attempts, or the last one
  * @param triedNodes the nodes that have had an attempt and should not be selected again
- * @param serverSends the attempts that reached a server, or may have reached one
+ * @param serverSends the attempts that reached a server, or may have reached one, and have ended
  * @param openedAttempts all attempts, those included that did not reach a server
  * @param refusal the reason of the last refusal
  * @param retryAfterMillis the shortest time until a server expects to have room, in milliseconds; 0 if unknown
@@ -25,7 +25,7 @@
  */
 public record EntryData(
         EntryRequest request,
-        Optional<Member> target,
+        EntryAttempts attempts,
         Set<String> triedNodes,
         int serverSends,
         int openedAttempts,
@@ -35,22 +35,40 @@
         boolean isReplayable,
         boolean pauseRequired) {
 
+    /** Divides the time from arrival to deadline: the last part, in which no hedge is sent. */
+    private static final int HEDGE_TIME_DIVISOR = 3;
+
     /** Checks the fields and copies the set. */
     public EntryData {
         Objects.requireNonNull(request, "request");
-        Objects.requireNonNull(target, "target");
+        Objects.requireNonNull(attempts, "attempts");
         triedNodes = Set.copyOf(triedNodes);
         Objects.requireNonNull(refusal, "refusal");
     }
 
-    static EntryData initial(EntryRequest request) {
-        return new EntryData(request, Optional.empty(), Set.of(), 0, 0, Refusal.NO_SERVER, 0, false, true, false);
+    static EntryData initial(EntryRequest request, long hedgeDelayNanos) {
+        return new EntryData(
+                request, EntryAttempts.none(hedgeDelayNanos), Set.of(), 0, 0, Refusal.NO_SERVER, 0, false, true, false);
+    }
+
+    /** Returns the member of the open attempt, or of the last one. */
+    Optional<Member> target() {
+        return attempts.main().map(SentAttempt::target);
     }
 
-    EntryData withOpenedAttempt(Member member) {
+    EntryData withOpenedAttempt(Member member, long now) {
+        SentAttempt attempt = new SentAttempt(openedAttempts + 1, member, now);
+        return opened(attempts.withMain(attempt));
+    }
+
+    EntryData withHedge(Member member, long now) {
+        return opened(attempts.withHedge(new SentAttempt(openedAttempts + 1, member, now)));
+    }
+
+    private EntryData opened(EntryAttempts next) {
         return new EntryData(
                 request,
-                Optional.of(member),
+                next,
                 triedNodes,
                 serverSends,
                 openedAttempts + 1,
@@ -61,11 +79,35 @@
                 false);
     }
 
+    /** Returns the state with a given open attempt as the main one, since it has ended. */
+    EntryData withMain(int number) {
+        return with(attempts.withMain(number));
+    }
+
+    /** Returns the state after the end of the main attempt, with the hedge in its place. */
+    EntryData withHedgeAlone() {
+        return with(attempts.withHedgeAlone());
+    }
+
+    private EntryData with(EntryAttempts next) {
+        return new EntryData(
+                request,
+                next,
+                triedNodes,
+                serverSends,
+                openedAttempts,
+                refusal,
+                retryAfterMillis,
+                mayHaveRun,
+                isReplayable,
+                pauseRequired);
+    }
+
     EntryData withRefusal(Refusal reason, long millis) {
         long earliest = retryAfterMillis == 0 ? millis : Math.min(retryAfterMillis, millis);
         return new EntryData(
                 request,
-                target,
+                attempts,
                 triedNodesAndTarget(),
                 serverSends + reason.countedSends(),
                 openedAttempts,
@@ -80,7 +122,7 @@
     EntryData withUncertainSend() {
         return new EntryData(
                 request,
-                target,
+                attempts,
                 triedNodesAndTarget(),
                 serverSends + 1,
                 openedAttempts,
@@ -94,7 +136,7 @@
     EntryData withoutPause() {
         return new EntryData(
                 request,
-                target,
+                attempts,
                 triedNodes,
                 serverSends,
                 openedAttempts,
@@ -108,7 +150,7 @@
     EntryData withoutBody() {
         return new EntryData(
                 request,
-                target,
+                attempts,
                 triedNodes,
                 serverSends,
                 openedAttempts,
@@ -119,9 +161,10 @@
                 pauseRequired);
     }
 
-    private Set<String> triedNodesAndTarget() {
+    /** Returns the nodes that have had an attempt, the open one included. */
+    Set<String> triedNodesAndTarget() {
         Set<String> nodes = new HashSet<>(triedNodes);
-        target.ifPresent(member -> nodes.add(member.node()));
+        target().ifPresent(member -> nodes.add(member.node()));
         return nodes;
     }
 
@@ -135,6 +178,17 @@
         return isReplayable && request.route().kind().isRepeatable() && hasSendsLeft();
     }
 
+    /** Returns whether a hedge may be sent: only a first attempt is open, and enough time is left for another. */
+    boolean isHedgeable(long now) {
+        long left = request.deadlineAt() - now;
+        long budget = request.deadlineAt() - request.arrivedAt();
+        return isRepeatable()
+                && openedAttempts == 1
+                && !isKeyed()
+                && left >= budget / HEDGE_TIME_DIVISOR
+                && left >= attempts.hedgeDelayNanos();
+    }
+
     boolean isKeyed() {
         return request.key().isPresent();
     }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryEffect.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryEffect.java
@@ -21,10 +21,12 @@
      * Opens an attempt: sends the request to the node beside a server.
      *
      * @param id the request's number
+     * @param number the number of the attempt, counted from one within the request
      * @param target the member that the request is sent to
      * @param lastChance whether the request is not sent to another member if this one refuses it
+     * @param hedge whether another attempt stays open beside it
      */
-    record OpenAttempt(long id, Member target, boolean lastChance) implements EntryEffect {
+    record OpenAttempt(long id, int number, Member target, boolean lastChance, boolean hedge) implements EntryEffect {
 
         /** Checks the member. */
         public OpenAttempt {
@@ -33,14 +35,22 @@
     }
 
     /**
-     * Withdraws the open attempt; its answer is no longer needed.
+     * Withdraws all open attempts; their answers are no longer needed.
      *
      * @param id the request's number
      */
     record Withdraw(long id) implements EntryEffect {}
 
     /**
-     * Starts to send the server's answer to the caller.
+     * Withdraws all open attempts but one.
+     *
+     * @param id the request's number
+     * @param number the number of the attempt that stays open
+     */
+    record Keep(long id, int number) implements EntryEffect {}
+
+    /**
+     * Starts to send the answer of the attempt that is open to the caller.
      *
      * @param id the request's number
      */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryEvent.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryEvent.java
@@ -20,6 +20,10 @@
     OWNER_KNOWN,
     /** The pause has ended, and a server is selected again. */
     AGAIN_DUE,
+    /** The first attempt takes longer than most do. */
+    HEDGE_DUE,
+    /** The selection of a server for a hedge ended, with or without a result. */
+    HEDGE_ROUTED,
     /** The request's deadline has passed. */
     TIME_OVER,
     /** The caller has closed its connection. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryGuard.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryGuard.java
@@ -53,6 +53,20 @@
             return input.withinBudget() && data.isRepeatable();
         }
     },
+    /** The first attempt is late, and the request may be sent to a second server beside it. */
+    MAY_HEDGE {
+        @Override
+        public boolean permits(EntryData data, EntryInput input, long now) {
+            return data.isHedgeable(now);
+        }
+    },
+    /** The server's answer is a failure. */
+    FAILED {
+        @Override
+        public boolean permits(EntryData data, EntryInput input, long now) {
+            return input.failed();
+        }
+    },
     /** The server's answer is a failure, and the request may run again. */
     FAILED_AND_MAY_REPEAT {
         @Override
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryTag.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryTag.java
@@ -4,6 +4,8 @@
 public enum EntryTag {
     /** The controller has to select a server. */
     ROUTING,
+    /** The controller has to select a server for a hedge. */
+    ROUTING_HEDGE,
     /** The request waits until its key has an owner that can be asked. */
     AWAITING_KEY,
     /** The answer is being sent to the caller. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryTimer.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/EntryTimer.java
@@ -28,6 +28,18 @@
         public long delayNanos(EntryData data, long now) {
             return Timing.millisToNanos(ROUTING_RETRY_MILLIS);
         }
+    },
+    /** Fires when the first attempt takes longer than most do. */
+    HEDGE_DELAY {
+        @Override
+        public EntryEvent fires() {
+            return EntryEvent.HEDGE_DUE;
+        }
+
+        @Override
+        public long delayNanos(EntryData data, long now) {
+            return data.attempts().hedgeDelayNanos();
+        }
     };
 
     /**
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/MemberLoads.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/MemberLoads.java
@@ -27,6 +27,9 @@
      */
     private static final long SENDS_VALIDITY_NANOS = Timing.millisToNanos(2_000);
 
+    /** Time for which a report that a member has free slots is valid, in nanoseconds. */
+    private static final long IDLE_VALIDITY_NANOS = Timing.millisToNanos(2_000);
+
     private final Map<String, MemberLoad> members = new HashMap<>();
 
     private static final class MemberLoad {
@@ -65,6 +68,18 @@
                 && now - member.reportedAt < STOPPING_VALIDITY_NANOS;
     }
 
+    /** Returns whether a member has reported lately that it has a free slot, and is neither cold nor stopping. */
+    boolean isIdle(String node, int slots, long now) {
+        MemberLoad member = members.get(node);
+        return member != null
+                && member.reported != null
+                && now - member.reportedAt < IDLE_VALIDITY_NANOS
+                && !member.reported.cold()
+                && !member.reported.stopping()
+                && member.reported.queued() == 0
+                && member.reported.running() + member.sendsSinceReport(now) < slots;
+    }
+
     /**
      * Returns how long a request that is sent now is expected to take at a member, in milliseconds: the wait for one of
      * its slots and the service time.
--- a/verbenamast-core/src/main/java/org/verbenamast/core/entry/TargetSelector.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/entry/TargetSelector.java
@@ -89,6 +89,12 @@
         return Optional.ofNullable(faster(near, far, kind, now));
     }
 
+    /** Finds a member for a hedge, as {@link #findFastest} does, if it was idle by a recent report. */
+    Optional<Member> findIdle(String service, RequestKind kind, Set<String> triedNodes, long now) {
+        return findFastest(service, kind, triedNodes, now)
+                .filter(member -> !unreachable.test(member) && loads.isIdle(member.node(), member.slots(), now));
+    }
+
     private boolean isNear(Member member) {
         return member.zone().equals(zone);
     }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/QuantileEstimate.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/hedge/QuantileEstimate.java
@@ -1,4 +1,4 @@
-package org.verbenamast.core.request;
+package org.verbenamast.core.hedge;
 
 /**
  * Estimates a quantile of a stream of durations. Each duration moves the estimate by a fraction of its current value,
--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
@@ -70,7 +70,14 @@
         this.backend = new BackendStateController(listener);
         this.serverStatuses = new ServerStatuses(backend, settings.drainMillis());
         this.crashReports = new CrashReportController(settings.node(), replica, rows.suspects(), settings.random());
-        this.entry = new EntryController(settings.zone(), roster, replica, crashReports, settings.random(), listener);
+        this.entry = new EntryController(
+                settings.zone(),
+                roster,
+                replica,
+                crashReports,
+                settings.limits().hedgesPerMille(),
+                settings.random(),
+                listener);
         this.admission = new AdmissionController(this, listener);
         this.keys = new KeyController(
                 settings.keyed(), roster, replica, entry::isReachable, follow::membersAsOf, follow.eras(), listener);
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/DirectoryRouter.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/DirectoryRouter.java
@@ -158,7 +158,11 @@
     @Override
     public long hedgeDelayNanos(RequestData data) {
         boolean keyed = serviceOf(data).keyed();
-        return policy.hedge().delayNanos(data.request(), keyed, budgetsOf(data).latencyQuantile());
+        return policy.hedge()
+                .delayNanos(
+                        data.request().method().idempotent(),
+                        keyed,
+                        budgetsOf(data).latencyQuantile());
     }
 
     @Override
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/RoutePolicy.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/RoutePolicy.java
@@ -2,6 +2,8 @@
 
 import java.util.Objects;
 
+import org.verbenamast.core.hedge.HedgeRule;
+
 /**
  * The policy by which a node routes requests of services that are not keyed.
  *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/ServiceBudgets.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/ServiceBudgets.java
@@ -1,5 +1,7 @@
 package org.verbenamast.core.request;
 
+import org.verbenamast.core.hedge.QuantileEstimate;
+
 /** The retry budget, the hedge budget and the latency quantile of one service at this node. */
 final class ServiceBudgets {
 
--- a/verbenamast-core/src/main/java/org/verbenamast/core/request/TokenBudget.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/request/TokenBudget.java
@@ -21,6 +21,19 @@
         this.millitokens = maxMillitokens;
     }
 
+    /**
+     * Creates an empty budget, which never pays for more than its share of first attempts.
+     *
+     * @param perMille the number of extra attempts per thousand first attempts
+     * @param reserve the capacity of the bucket, in extra attempts
+     * @return the budget
+     */
+    public static TokenBudget empty(long perMille, long reserve) {
+        TokenBudget budget = new TokenBudget(perMille, reserve);
+        budget.millitokens = 0;
+        return budget;
+    }
+
     /** Deposits the share of one first attempt, up to the capacity. */
     public void deposit() {
         millitokens = Math.min(maxMillitokens, millitokens + millitokensPerDeposit);
--- a/verbenamast-core/src/test/java/org/verbenamast/core/entry/EntryControllerTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/entry/EntryControllerTest.java
@@ -28,7 +28,7 @@
         long id = open(RequestKind.UNSAFE, OptionalInt.empty());
 
         // when
-        controller.onRefused(id, Refusal.FULL, 100, IDLE, now, effects::add);
+        controller.onRefused(id, 0, Refusal.FULL, 100, IDLE, now, effects::add);
 
         // then
         assertThat(nodesAsked()).containsExactlyInAnyOrder("one", "two");
@@ -42,7 +42,7 @@
         long id = open(RequestKind.UNSAFE, OptionalInt.empty());
 
         // when
-        controller.onBroken(id, true, now, effects::add);
+        controller.onBroken(id, 0, true, now, effects::add);
 
         // then
         assertThat(nodesAsked()).hasSize(1);
@@ -57,8 +57,8 @@
         long id = open(RequestKind.SAFE, OptionalInt.empty());
 
         // when
-        controller.onBroken(id, true, now, effects::add);
-        controller.onBroken(id, true, now, effects::add);
+        controller.onBroken(id, 0, true, now, effects::add);
+        controller.onBroken(id, 0, true, now, effects::add);
 
         // then
         assertThat(nodesAsked()).containsExactlyInAnyOrder("one", "two");
@@ -74,7 +74,7 @@
                 KeyMap.vacant(SERVICE).move(KeyRange.ALL, one.incarnation()).move(KeyRange.ALL, two.incarnation());
         putKeys(moving, 1);
         long id = open(RequestKind.SAFE, OptionalInt.of(7));
-        controller.onRefused(id, Refusal.NOT_OWNER, 0, IDLE, now, effects::add);
+        controller.onRefused(id, 0, Refusal.NOT_OWNER, 0, IDLE, now, effects::add);
         assertThat(nodesAsked()).containsExactly("one");
 
         // when
@@ -95,7 +95,7 @@
         KeyMap owned = KeyMap.vacant(SERVICE).move(KeyRange.ALL, one.incarnation());
         putKeys(owned.move(KeyRange.ALL, two.incarnation()), 1);
         long id = open(RequestKind.SAFE, OptionalInt.of(7));
-        controller.onRefused(id, Refusal.NOT_OWNER, 0, IDLE, now, effects::add);
+        controller.onRefused(id, 0, Refusal.NOT_OWNER, 0, IDLE, now, effects::add);
 
         // when
         putKeys(owned, 2);
@@ -115,7 +115,7 @@
         // when
         while (now < end && !(lastEffect() instanceof EntryEffect.Refuse)) {
             if (lastEffect() instanceof EntryEffect.OpenAttempt) {
-                controller.onRefused(id, Refusal.NOT_OWNER, 0, IDLE, now, effects::add);
+                controller.onRefused(id, 0, Refusal.NOT_OWNER, 0, IDLE, now, effects::add);
             }
             now += Timing.millisToNanos(20);
             controller.advance(now, effects::add);
@@ -136,7 +136,7 @@
         // when
         for (int i = 0; i < 2; i++) {
             long id = open(RequestKind.SAFE, OptionalInt.of(7));
-            controller.onRefused(id, Refusal.WRONG_SERVER, 0, IDLE, now, effects::add);
+            controller.onRefused(id, 0, Refusal.WRONG_SERVER, 0, IDLE, now, effects::add);
         }
 
         // then
@@ -167,10 +167,10 @@
         join("one");
         join("two");
         long id = open(RequestKind.SAFE, OptionalInt.empty());
-        controller.onBroken(id, true, now, effects::add);
+        controller.onBroken(id, 0, true, now, effects::add);
 
         // when
-        controller.onRefused(id, Refusal.FULL, 100, IDLE, now, effects::add);
+        controller.onRefused(id, 0, Refusal.FULL, 100, IDLE, now, effects::add);
 
         // then
         assertThat(nodesAsked()).hasSize(2);
@@ -186,7 +186,7 @@
         roster.remove(owner.node());
 
         // when
-        controller.onBroken(id, true, now, effects::add);
+        controller.onBroken(id, 0, true, now, effects::add);
         now += Timing.millisToNanos(1_001);
         controller.advance(now, effects::add);
 
@@ -201,7 +201,7 @@
         AdmissionLoad stopping = new AdmissionLoad(0, 0, 9, 50, false, true);
         join("one");
         long id = open(RequestKind.UNSAFE, OptionalInt.empty());
-        controller.onRefused(id, Refusal.STOPPING, 100, stopping, now, effects::add);
+        controller.onRefused(id, 0, Refusal.STOPPING, 100, stopping, now, effects::add);
         open(RequestKind.UNSAFE, OptionalInt.empty());
         assertThat(nodesAsked()).hasSize(1);
 
@@ -219,7 +219,7 @@
         Member broken = join("one");
         for (int i = 0; i < 30; i++) {
             long id = open(RequestKind.UNSAFE, OptionalInt.empty());
-            controller.onBroken(id, false, now, effects::add);
+            controller.onBroken(id, 0, false, now, effects::add);
         }
         join("two");
         effects.clear();
@@ -271,9 +271,9 @@
             effects.clear();
             controller.onBodyDropped(id, now, effects::add);
             switch (how) {
-                case "refused" -> controller.onRefused(id, Refusal.SHED, 0, IDLE, now, effects::add);
-                case "broken" -> controller.onBroken(id, false, now, effects::add);
-                default -> controller.onAnswer(id, true, IDLE, now, effects::add);
+                case "refused" -> controller.onRefused(id, 0, Refusal.SHED, 0, IDLE, now, effects::add);
+                case "broken" -> controller.onBroken(id, 0, false, now, effects::add);
+                default -> controller.onAnswer(id, 0, true, IDLE, now, effects::add);
             }
 
             // then
--- a/verbenamast-core/src/test/java/org/verbenamast/core/entry/EntryDeliveryTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/entry/EntryDeliveryTest.java
@@ -16,7 +16,7 @@
         // given
         join("one");
         long id = open(RequestKind.DOWNLOAD, OptionalInt.empty());
-        controller.onAnswer(id, false, IDLE, now, effects::add);
+        controller.onAnswer(id, 0, false, IDLE, now, effects::add);
         effects.clear();
 
         // when
@@ -33,7 +33,7 @@
         // given
         join("one");
         long id = open(RequestKind.DOWNLOAD, OptionalInt.empty());
-        controller.onAnswer(id, false, IDLE, now, effects::add);
+        controller.onAnswer(id, 0, false, IDLE, now, effects::add);
         effects.clear();
 
         // when
--- a/verbenamast-core/src/test/java/org/verbenamast/core/entry/EntryFixture.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/entry/EntryFixture.java
@@ -40,11 +40,19 @@
     final ReportedSuspects suspects = new ReportedSuspects();
     final CrashReportController crashReports = new CrashReportController("node-a", replica, suspects, () -> 0.5);
     final List<Effect> effects = new ArrayList<>();
-    final EntryController controller =
-            new EntryController(new Zone("a"), roster, replica, crashReports, () -> 0.5, TransitionListener.NONE);
+    EntryController controller = controller(0);
     long now = Timing.millisToNanos(1_000);
     long lastId;
 
+    private EntryController controller(long hedgesPerMille) {
+        return new EntryController(
+                new Zone("a"), roster, replica, crashReports, hedgesPerMille, () -> 0.5, TransitionListener.NONE);
+    }
+
+    void hedgesPerMille(long hedges) {
+        controller = controller(hedges);
+    }
+
     Member join(String node) {
         Member member = new Member(
                 node,
--- a/verbenamast-core/src/test/java/org/verbenamast/core/entry/EntryRejectionTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/entry/EntryRejectionTest.java
@@ -18,9 +18,9 @@
         long id = open(RequestKind.UNSAFE, OptionalInt.of(7));
 
         // when
-        controller.onRefused(id, Refusal.SHED, 40, IDLE, now, effects::add);
+        controller.onRefused(id, 0, Refusal.SHED, 40, IDLE, now, effects::add);
         assertThat(nodesAsked()).containsExactly("one", "one");
-        controller.onRefused(id, Refusal.SHED, 40, IDLE, now, effects::add);
+        controller.onRefused(id, 0, Refusal.SHED, 40, IDLE, now, effects::add);
 
         // then
         assertThat(nodesAsked()).hasSize(2);
@@ -36,13 +36,13 @@
         assignAllKeysTo(join("one"));
         for (int i = 0; i < 2; i++) {
             long paid = open(RequestKind.SAFE, OptionalInt.of(7));
-            controller.onRefused(paid, Refusal.SHED, 40, IDLE, now, effects::add);
+            controller.onRefused(paid, 0, Refusal.SHED, 40, IDLE, now, effects::add);
         }
         int asked = nodesAsked().size();
 
         // when
         long id = open(RequestKind.SAFE, OptionalInt.of(7));
-        controller.onRefused(id, Refusal.SHED, 40, IDLE, now, effects::add);
+        controller.onRefused(id, 0, Refusal.SHED, 40, IDLE, now, effects::add);
 
         // then
         assertThat(nodesAsked()).hasSize(asked + 1);
--- a/verbenamast-core/src/test/java/org/verbenamast/core/entry/SimulatedFleet.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/entry/SimulatedFleet.java
@@ -163,7 +163,7 @@
             CrashReportController crashes =
                     new CrashReportController("entry-" + entry, replica, new ReportedSuspects(), random::nextDouble);
             entries.add(new EntryController(
-                    zoneOf(entry), roster, replica, crashes, random::nextDouble, TransitionListener.NONE));
+                    zoneOf(entry), roster, replica, crashes, 0, random::nextDouble, TransitionListener.NONE));
         }
         for (Load load : Load.values()) {
             scheduleArrival(load, load.perSecond * loadFactor * entryCount / 1_000);
@@ -309,11 +309,11 @@
                 schedule(
                         HOP_MILLIS,
                         () -> atEntry(entry, effects -> entries.get(entry)
-                                .onRefused(id, refuse.reason(), refuse.retryAfterMillis(), load, nanos(), effects)));
+                                .onRefused(id, 0, refuse.reason(), refuse.retryAfterMillis(), load, nanos(), effects)));
             } else if (effect instanceof AdmissionEffect.CancelOverdue) {
                 schedule(
                         HOP_MILLIS,
-                        () -> atEntry(entry, effects -> entries.get(entry).onBroken(id, false, nanos(), effects)));
+                        () -> atEntry(entry, effects -> entries.get(entry).onBroken(id, 0, false, nanos(), effects)));
             }
         }
         double due = (double) gate.nextDue() / Timing.NANOS_PER_MILLI - 1_000;
@@ -328,7 +328,7 @@
         atGate(server, effects -> gates.get(server).onFinished(id, ServerOutcome.ANSWERED, nanos(), effects));
         schedule(
                 HOP_MILLIS,
-                () -> atEntry(entry, effects -> entries.get(entry).onAnswer(id, false, load, nanos(), effects)));
+                () -> atEntry(entry, effects -> entries.get(entry).onAnswer(id, 0, false, load, nanos(), effects)));
     }
 
     private void reject(int server, long id) {
@@ -340,7 +340,7 @@
         schedule(
                 HOP_MILLIS,
                 () -> atEntry(entry, effects -> entries.get(entry)
-                        .onRefused(id, Refusal.SHED, retryMillis, load, nanos(), effects)));
+                        .onRefused(id, 0, Refusal.SHED, retryMillis, load, nanos(), effects)));
     }
 
     private double durationMillis(int server, double workMillis) {
--- a/verbenamast-core/src/test/java/org/verbenamast/core/measure/StragglerMeasureTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/measure/StragglerMeasureTest.java
@@ -4,7 +4,7 @@
 
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.verbenamast.core.request.HedgeRule;
+import org.verbenamast.core.hedge.HedgeRule;
 import org.verbenamast.core.request.MemberSelector;
 import org.verbenamast.core.request.RoutePolicy;
 
--- a/verbenamast-core/src/test/java/org/verbenamast/core/request/RequestControllerTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/request/RequestControllerTest.java
@@ -8,6 +8,7 @@
 import org.verbenamast.core.chart.TransitionListener;
 import org.verbenamast.core.effect.Effect;
 import org.verbenamast.core.gate.crash.SuspectController;
+import org.verbenamast.core.hedge.HedgeRule;
 import org.verbenamast.core.membership.Directory;
 import org.verbenamast.core.membership.MemberRow;
 import org.verbenamast.core.membership.MemberStatus;
--- a/verbenamast-it/src/main/java/org/verbenamast/it/bench/DecisionBenchmark.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/bench/DecisionBenchmark.java
@@ -109,7 +109,7 @@
         CrashReportController crashReports =
                 new CrashReportController("node-0", replica, new ReportedSuspects(), () -> 0.5);
         entry = new EntryController(
-                new Zone("zone-0"), roster, replica, crashReports, () -> 0.5, TransitionListener.NONE);
+                new Zone("zone-0"), roster, replica, crashReports, 0, () -> 0.5, TransitionListener.NONE);
         admission = new AdmissionController(RULES, TransitionListener.NONE);
         admission.onServerStatus(Optional.of(new ServerStatus(INCARNATION, SERVICE, SLOTS, 0, 0, 0)), now, IGNORED);
         while (admission.load(now).queued() < QUEUED) {
