Hedges in the relay: two open attempts of an exchange, and a gate that never queues a hedge

Cause: nothing of the relay reached the rule for hedges, so that the slowest answers waited for one slow server. Off unless the settings name a ratio.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionConditions.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionConditions.java
@@ -35,10 +35,6 @@
         return server;
     }
 
-    boolean isStopping() {
-        return stopping;
-    }
-
     int slots() {
         return server.map(ServerStatus::slots).orElse(0);
     }
@@ -62,6 +58,10 @@
         return coldWindow.nextExpiry();
     }
 
+    AdmissionLoad load(int running, int queued, double serviceMillis, long now) {
+        return new AdmissionLoad(running, queued, slots(), (int) Math.max(1, serviceMillis), isCold(now), stopping);
+    }
+
     /** Returns why a request may not be dispatched whatever the load, or empty if it may. */
     Optional<Refusal> findRefusal(AdmissionRequest request, long now) {
         if (server.isEmpty() || !server.get().incarnation().equals(request.incarnation())) {
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionController.java
@@ -14,7 +14,6 @@
 import org.verbenamast.core.chart.file.ChartReader;
 import org.verbenamast.core.effect.Effects;
 import org.verbenamast.core.model.ServerLoad;
-import org.verbenamast.core.node.Timing;
 
 /**
  * The admission controller in front of the server beside this node (the gate, in logs and in the chart's name). Only
@@ -135,12 +134,20 @@
      * @param effects receives the effects
      */
     public void onRequest(AdmissionRequest request, long now, Effects effects) {
-        requests.begin(request.id(), new AdmissionData(request, answerNanos(request), 0, 0), now);
+        requests.begin(request.id(), AdmissionData.initial(request, discipline.answerMillis(request)), now);
         requests.fire(request.id(), AdmissionEvent.JUDGED, decide(request, now), now, effects);
     }
 
-    private long answerNanos(AdmissionRequest request) {
-        return (long) (discipline.answerMillis(request) * Timing.NANOS_PER_MILLI);
+    /**
+     * Handles a hedge, whose request another server has already: dispatches it at once or refuses it.
+     *
+     * @param request the request
+     * @param now the monotonic time, in nanoseconds
+     * @param effects receives the effects
+     */
+    public void onHedge(AdmissionRequest request, long now, Effects effects) {
+        requests.begin(request.id(), AdmissionData.initial(request, discipline.answerMillis(request)), now);
+        requests.fire(request.id(), AdmissionEvent.JUDGED, decide(request, now).withoutWait(), now, effects);
     }
 
     private AdmissionInput decide(AdmissionRequest request, long now) {
@@ -368,13 +375,7 @@
      */
     public AdmissionLoad load(long now) {
         double serviceMillis = serviceTimes.millis() * usefulShare.sendsPerAnswer();
-        return new AdmissionLoad(
-                running,
-                queued.size(),
-                conditions.slots(),
-                (int) Math.max(1, serviceMillis),
-                conditions.isCold(now),
-                conditions.isStopping());
+        return conditions.load(running, queued.size(), serviceMillis, now);
     }
 
     /**
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionData.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionData.java
@@ -2,6 +2,8 @@
 
 import java.util.Objects;
 
+import org.verbenamast.core.node.Timing;
+
 /**
  * The state of a request at the admission controller.
  *
@@ -18,6 +20,10 @@
         Objects.requireNonNull(request, "request");
     }
 
+    static AdmissionData initial(AdmissionRequest request, double answerMillis) {
+        return new AdmissionData(request, (long) (answerMillis * Timing.NANOS_PER_MILLI), 0, 0);
+    }
+
     AdmissionData withStart(long now) {
         return new AdmissionData(request, expectedAnswerNanos, now, 0);
     }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionInput.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/admission/AdmissionInput.java
@@ -27,6 +27,11 @@
         return new AdmissionInput(verdict, Refusal.FULL, 0);
     }
 
+    /** Returns the decision on a request that is refused unless it is dispatched at once. */
+    AdmissionInput withoutWait() {
+        return verdict == Verdict.DISPATCH || verdict == Verdict.REFUSE ? this : refused(Refusal.FULL, 0);
+    }
+
     /** What the controller does with a request that has no place yet. */
     enum Verdict {
         DISPATCH,
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
@@ -1,12 +1,12 @@
 package org.verbenamast.relay.caller;
 
 import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Objects;
 
 import io.activej.promise.Promise;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import org.verbenamast.core.admission.AdmissionLoad;
-import org.verbenamast.core.admission.Refusal;
 import org.verbenamast.core.entry.EntryEffect;
 import org.verbenamast.core.entry.EntryRequest;
 import org.verbenamast.core.gate.crash.FingerprintDigest;
@@ -20,19 +20,16 @@
 import org.verbenamast.relay.telemetry.LogField;
 import org.verbenamast.relay.telemetry.RequestEnd;
 import org.verbenamast.relay.telemetry.RequestLog;
-import org.verbenamast.wire.generated.RelayAnswer;
 import org.verbenamast.wire.generated.RelayOpen;
 import org.verbenamast.wire.relay.RelayFrames;
 
 /** A caller's request, from its head to the end of its answer, across all attempts. */
-final class CallerExchange implements RelayAttempt.Observer {
+final class CallerExchange {
 
     /** Size up to which a request's body is buffered for further attempts, in bytes. */
     private static final int MAX_REPLAY_BYTES = 64 * 1024;
-    /** Size up to which an answer is buffered before delivery starts, in bytes; until then a retry can replace it. */
-    private static final int MAX_BUFFERED_ANSWER_BYTES = 192 * 1024;
-
-    private static final int FIRST_SERVER_ERROR_STATUS = 500;
+    /** The number of no attempt. */
+    private static final int NO_ATTEMPT = 0;
 
     private final EntryRequest request;
     private final CallerIdentity identity;
@@ -43,19 +40,14 @@
     private final PeerPool pool;
     private final RequestLog log;
     private final ByteArrayOutputStream replayBuffer = new ByteArrayOutputStream();
-    private final ByteArrayOutputStream answerBuffer = new ByteArrayOutputStream();
-    private RelayAttempt attempt;
-    private RelayAnswer answer;
-    private AdmissionLoad load;
+    /** The open attempts, of which there are two while a hedge is open. */
+    private final List<ExchangeAttempt> openAttempts = new ArrayList<>();
+
     private final FingerprintDigest content;
     private boolean opened;
     private boolean replayable = true;
     private boolean bodyEnded;
-    private boolean answerEnded;
-    private boolean answerReported;
-    private boolean delivering;
     private int attempts;
-    private long attemptOpenedAt;
     private String peer = "";
 
     CallerExchange(
@@ -78,6 +70,14 @@
         this.content = new FingerprintDigest(head.getCallerService(), head.getTarget());
     }
 
+    long id() {
+        return request.id();
+    }
+
+    CallerReply reply() {
+        return reply;
+    }
+
     EntryRequest request() {
         return request;
     }
@@ -92,7 +92,7 @@
         }
     }
 
-    /** Buffers a piece of the request's body if it may be replayed, and sends it to the current attempt. */
+    /** Buffers a piece of the request's body if it may be replayed, and sends it to the open attempts. */
     void body(byte[] bytes) {
         content.update(bytes);
         boolean fits = !accepted() || replayBuffer.size() + bytes.length <= MAX_REPLAY_BYTES;
@@ -102,22 +102,22 @@
             replayable = false;
             loop.run((now, effects) -> core.entry().onBodyDropped(request.id(), now, effects));
         }
-        if (attempt != null && attempt.connected() && takesBody()) {
-            attempt.body(bytes);
+        if (takesBody()) {
+            openAttempts.forEach(attempt -> attempt.body(bytes));
         }
         open();
     }
 
     /** Returns whether a server takes the body; until then, and between attempts, no more is read than can be kept. */
     private boolean accepted() {
-        return attempt != null && attempt.accepted();
+        return openAttempts.stream().anyMatch(ExchangeAttempt::accepted);
     }
 
     void endBody() {
         bodyEnded = true;
         open();
-        if (attempt != null && attempt.connected() && takesBody()) {
-            attempt.endBody();
+        if (takesBody()) {
+            openAttempts.forEach(ExchangeAttempt::endBody);
         }
     }
 
@@ -131,7 +131,7 @@
         if (!accepted() && replayBuffer.size() >= MAX_REPLAY_BYTES) {
             return reply.whenAccepted();
         }
-        return attempt == null ? Promise.complete() : attempt.bodyRoom();
+        return openAttempts.isEmpty() ? Promise.complete() : openAttempts.get(0).bodyRoom();
     }
 
     /**
@@ -142,12 +142,12 @@
         if (identity.holdsUnder(core.manifest().tenants())) {
             return;
         }
-        if (accepted() || answer != null) {
+        if (accepted() || openAttempts.stream().anyMatch(ExchangeAttempt::answered)) {
             replayable = false;
             loop.run((now, effects) -> core.entry().onBodyDropped(request.id(), now, effects));
             return;
         }
-        withdraw();
+        keepOnly(NO_ATTEMPT);
         onCallerGone();
         logEnd("refused", KeyVerdict.KEY_WITHDRAWN.name(), 0);
         reply.answer(HttpResponseStatus.UNAUTHORIZED, "");
@@ -155,7 +155,8 @@
 
     /** Returns what is held of the request's body and of an answer whose delivery has not begun, in bytes. */
     int heldBytes() {
-        return replayBuffer.size() + answerBuffer.size();
+        return replayBuffer.size()
+                + openAttempts.stream().mapToInt(ExchangeAttempt::heldBytes).sum();
     }
 
     void onCallerGone() {
@@ -167,9 +168,13 @@
         if (effect instanceof EntryEffect.OpenAttempt open) {
             openAttempt(open);
         } else if (effect instanceof EntryEffect.Withdraw) {
-            withdraw();
+            keepOnly(NO_ATTEMPT);
+        } else if (effect instanceof EntryEffect.Keep keep) {
+            keepOnly(keep.number());
         } else if (effect instanceof EntryEffect.Deliver) {
-            deliver();
+            ExchangeAttempt answered = openAttempts.get(0);
+            peer = answered.peer();
+            answered.deliver();
         } else if (effect instanceof EntryEffect.Refuse refuse) {
             logEnd("refused", refuse.reason().name(), refuse.retryAfterMillis());
             reply.refuse(refuse.retryAfterMillis());
@@ -209,12 +214,7 @@
     private void openAttempt(EntryEffect.OpenAttempt open) {
         attempts++;
         peer = open.target().node();
-        answerBuffer.reset();
-        answer = null;
-        answerEnded = false;
-        answerReported = false;
         long now = RelayLoop.now();
-        attemptOpenedAt = now;
         StoreVersions versions = core.follow().versions(now);
         RelayOpen.Builder frame = RelayFrames.open(request, open.target(), open.lastChance(), versions, now)
                 .setMethod(head.getMethod())
@@ -224,121 +224,49 @@
                 .setCallerService(head.getCallerService())
                 .setTenant(head.getTenant())
                 .setPriority(head.getPriority())
-                .setBodyLength(head.getBodyLength());
-        attempt = new RelayAttempt(
-                pool, open.target().peer(), request.route().kind().hasLargeAnswers(), this);
+                .setBodyLength(head.getBodyLength())
+                .setHedged(open.hedge());
+        ExchangeAttempt attempt = new ExchangeAttempt(
+                this, open, core, loop, pool, request.route().kind().hasLargeAnswers());
+        openAttempts.add(attempt);
         attempt.begin(frame.build());
     }
 
-    private void withdraw() {
-        if (attempt != null) {
-            attempt.close();
-            attempt = null;
-        }
+    /** Withdraws all open attempts but the one with a given number. */
+    private void keepOnly(int number) {
+        openAttempts.stream().filter(attempt -> attempt.number() != number).forEach(ExchangeAttempt::close);
+        openAttempts.removeIf(attempt -> attempt.number() != number);
     }
 
-    @Override
-    public void onHeadSent() {
-        if (takesBody()) {
-            sendBody();
+    /** Handles that an attempt has ended without an answer. */
+    void forget(ExchangeAttempt attempt) {
+        openAttempts.remove(attempt);
+    }
+
+    void onHeadSent(ExchangeAttempt attempt) {
+        if (!request.route().kind().hasLargeBodies()) {
+            sendBody(attempt);
         }
     }
 
-    private void sendBody() {
+    private void sendBody(ExchangeAttempt attempt) {
         attempt.body(replayBuffer.toByteArray());
         if (bodyEnded) {
             attempt.endBody();
         }
     }
 
-    @Override
-    public void onUnreachable() {
-        loop.run((now, effects) -> core.entry().onUnreached(request.id(), now, effects));
-    }
-
-    @Override
-    public void onAccepted() {
-        if (attempt != null && request.route().kind().hasLargeBodies()) {
-            sendBody();
+    void onAccepted(ExchangeAttempt attempt) {
+        if (request.route().kind().hasLargeBodies()) {
+            sendBody(attempt);
         }
         reply.onAccepted();
     }
 
-    @Override
-    public void onStoreVersions(StoreVersions versions) {
-        loop.onAnsweredStoreVersions(versions, attemptOpenedAt);
-    }
-
-    @Override
-    public void onRefused(Refusal reason, long retryAfterMillis, AdmissionLoad reported) {
-        loop.run((now, effects) ->
-                core.entry().onRefused(request.id(), reason, retryAfterMillis, reported, now, effects));
-    }
-
-    @Override
-    public void onAnswerHead(RelayAnswer head, AdmissionLoad load) {
-        this.answer = head;
-        this.load = load;
-    }
-
-    @Override
-    public void onAnswerBody(byte[] bytes) {
-        if (delivering) {
-            reply.sendAnswerBody(bytes);
-            return;
-        }
-        answerBuffer.writeBytes(bytes);
-        if (answerBuffer.size() >= MAX_BUFFERED_ANSWER_BYTES) {
-            reportAnswer();
-        }
-    }
-
-    private void reportAnswer() {
-        if (!answerReported) {
-            answerReported = true;
-            boolean failed = answer.getStatus() >= FIRST_SERVER_ERROR_STATUS;
-            loop.run((now, effects) -> core.entry().onAnswer(request.id(), failed, load, now, effects));
-        }
-    }
-
-    @Override
-    public void onAnswerEnd() {
-        if (answer == null) {
-            onBroken(false);
-            return;
-        }
-        answerEnded = true;
-        if (delivering) {
-            reply.endAnswer();
-        } else {
-            reportAnswer();
-        }
-    }
-
-    @Override
-    public void onBroken(boolean linkLost) {
-        loop.run((now, effects) -> core.entry().onBroken(request.id(), linkLost, now, effects));
-    }
-
-    private void deliver() {
-        delivering = true;
-        reply.beginAnswer(answer, answerEnded ? answerBuffer.size() : -1);
-        reply.sendAnswerBody(answerBuffer.toByteArray());
-        answerBuffer.reset();
-        if (answerEnded) {
-            reply.endAnswer();
-        }
-    }
-
     /** Handles that all of the answer was sent. */
     void onDelivered() {
         log.recordEnd(RequestEnd.answered(request.attemptId(), request.route().name(), elapsed()), () -> logFields(0));
         core.crashReports().onAnswered(content.fingerprint(), RelayLoop.now());
         loop.run((now, effects) -> core.entry().onDelivered(request.id(), now, effects));
     }
-
-    @Override
-    public Promise<Void> room() {
-        return reply.room(answerBuffer.size());
-    }
 }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateServer.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateServer.java
@@ -207,7 +207,11 @@
             if (request.key().isPresent()) {
                 core.keys().recordRequest(request.key().getAsInt());
             }
-            loop.run((now, effects) -> core.admission().onRequest(request, now, effects));
+            if (open.getHedged()) {
+                loop.run((now, effects) -> core.admission().onHedge(request, now, effects));
+            } else {
+                loop.run((now, effects) -> core.admission().onRequest(request, now, effects));
+            }
         }
 
         private void rows(RelayFrame frame) {
--- a/verbenamast-relay/src/test/java/org/verbenamast/relay/caller/CallerFixture.java
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/caller/CallerFixture.java
@@ -62,7 +62,11 @@
                     new Address("127.0.0.1", 1),
                     KeyLeaseTimings.DEFAULT,
                     2_000,
-                    RelayLimits.DEFAULT,
+                    new RelayLimits(
+                            RelayLimits.DEFAULT.host(),
+                            RelayLimits.DEFAULT.caps(),
+                            RelayLimits.DEFAULT.clients(),
+                            hedgesPerMille()),
                     0,
                     () -> 0.5),
             TransitionListener.NONE);
@@ -73,6 +77,11 @@
     CallerServer server;
     Address callers;
 
+    /** Returns the limit of hedges that the node is configured with. */
+    long hedgesPerMille() {
+        return 0;
+    }
+
     @BeforeEach
     void start() throws IOException {
         nodes = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
