--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
@@ -70,14 +70,9 @@
         this.backend = new BackendStateController(listener);
         this.serverStatuses = new ServerStatuses(backend, settings.drainMillis());
         this.crashReports = new CrashReportController(settings.node(), replica, rows.suspects(), settings.random());
+        long hedges = settings.limits().hedgesPerMille();
         this.entry = new EntryController(
-                settings.zone(),
-                roster,
-                replica,
-                crashReports,
-                settings.limits().hedgesPerMille(),
-                settings.random(),
-                listener);
+                settings.zone(), roster, replica, crashReports, hedges, settings.random(), listener);
         this.admission = new AdmissionController(this, listener);
         this.keys = new KeyController(
                 settings.keyed(), roster, replica, entry::isReachable, follow::membersAsOf, follow.eras(), listener);
