--- a/verbenamast-core/src/main/java/org/verbenamast/core/gate/crash/CrashReportController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/gate/crash/CrashReportController.java
@@ -246,6 +246,10 @@
      * @return the monotonic time, in nanoseconds
      */
     public long nextDue() {
-        return corrections.values().stream().mapToLong(Long::longValue).min().orElse(Long.MAX_VALUE);
+        long due = Long.MAX_VALUE;
+        for (long at : corrections.values()) {
+            due = Math.min(due, at);
+        }
+        return due;
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/manifest/ActiveManifest.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/manifest/ActiveManifest.java
@@ -1,5 +1,7 @@
 package org.verbenamast.core.manifest;
 
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 
 /** The newest version of the manifest that a node knows. It never decreases within an incarnation of the node. */
@@ -8,6 +10,7 @@
     private Optional<Manifest> manifest = Optional.empty();
     private Optional<RouteTable> routes = Optional.empty();
     private TenantIndex tenants = TenantIndex.NONE;
+    private final Map<String, ServiceRules> services = new HashMap<>();
 
     /**
      * Puts a version into force unless it is no newer than the current one.
@@ -22,6 +25,8 @@
         manifest = Optional.of(next);
         routes = Optional.of(next.buildRouteTable());
         tenants = new TenantIndex(next.tenants());
+        services.clear();
+        next.services().forEach(rules -> services.putIfAbsent(rules.name(), rules));
         return true;
     }
 
@@ -59,7 +64,7 @@
      * @return the rules, or nothing where the manifest does not list the service
      */
     public Optional<ServiceRules> service(String name) {
-        return manifest.flatMap(known -> known.service(name));
+        return Optional.ofNullable(services.get(name));
     }
 
     /**
--- a/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Programs.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Programs.java
@@ -23,6 +23,7 @@
 
     private final Path root;
     private final Path logs;
+    private final List<String> relayCommand;
 
     /**
      * Makes a starter.
@@ -31,8 +32,14 @@
      * @param logs the folder for the processes' output
      */
     Programs(Path root, Path logs) {
+        this(root, logs, List.of());
+    }
+
+    /** Makes a starter of relays with a command of their own, run in {@code root}; with the usual one where empty. */
+    Programs(Path root, Path logs, List<String> relayCommand) {
         this.root = root;
         this.logs = logs;
+        this.relayCommand = List.copyOf(relayCommand);
     }
 
     Process node(String name, Path settings) throws IOException {
@@ -40,7 +47,13 @@
     }
 
     Process relay(String name, Path settings) throws IOException {
-        return start(name, "relay", NODE_FLAGS, List.of("--settings", settings.toString()));
+        List<String> args = List.of("--settings", settings.toAbsolutePath().toString());
+        if (relayCommand.isEmpty()) {
+            return start(name, "relay", NODE_FLAGS, args);
+        }
+        List<String> command = new ArrayList<>(relayCommand);
+        command.addAll(args);
+        return start(name, command, root);
     }
 
     Process standin(String name, List<String> args) throws IOException {
@@ -57,7 +70,12 @@
                 .resolve("verbenamast-" + module + ".jar")
                 .toString());
         command.addAll(args);
+        return start(name, command, Path.of(""));
+    }
+
+    private Process start(String name, List<String> command, Path folder) throws IOException {
         return new ProcessBuilder(command)
+                .directory(folder.toAbsolutePath().toFile())
                 .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(
                         logs.resolve(name + ".log").toFile()))
--- a/verbenamast-it/src/main/java/org/verbenamast/it/deploy/RelayFleet.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/deploy/RelayFleet.java
@@ -42,9 +42,9 @@
     private final List<Process> others = new ArrayList<>();
     private final Wiring wiring;
 
-    private RelayFleet(Path root, Path folder, PortBlock ports, int hosts, Wiring wiring) {
+    private RelayFleet(Programs programs, Path folder, PortBlock ports, int hosts, Wiring wiring) {
         this.folder = Objects.requireNonNull(folder, "folder");
-        this.programs = new Programs(root, folder);
+        this.programs = Objects.requireNonNull(programs, "programs");
         this.ports = ports;
         this.hosts = hosts;
         this.wiring = Objects.requireNonNull(wiring, "wiring");
@@ -61,8 +61,26 @@
      * @throws IOException where a process can't be started
      */
     public static RelayFleet start(Path root, Path folder, int hosts, Wiring wiring) throws IOException {
+        return start(root, folder, hosts, wiring, List.of());
+    }
+
+    /**
+     * Starts a fleet whose relays run with a command of their own.
+     *
+     * @param root the root of the repository
+     * @param folder where settings, logs and records go; what is there is deleted
+     * @param hosts how many hosts, two at least
+     * @param wiring whether the store is reached through the fault proxy, on a route for each host
+     * @param relayCommand the command that starts a relay, run in {@code root}; the usual one where empty
+     * @return the fleet; it may not be ready yet
+     * @throws IOException where a process can't be started
+     */
+    public static RelayFleet start(Path root, Path folder, int hosts, Wiring wiring, List<String> relayCommand)
+            throws IOException {
         Processes.emptyFolder(folder);
-        RelayFleet fleet = new RelayFleet(root, folder, PortBlock.reserve(hosts * PORTS_PER_HOST + 2), hosts, wiring);
+        Programs programs = new Programs(root, folder, relayCommand);
+        RelayFleet fleet =
+                new RelayFleet(programs, folder, PortBlock.reserve(hosts * PORTS_PER_HOST + 2), hosts, wiring);
         Path manifest = Files.writeString(folder.resolve("manifest.json"), MANIFEST);
         fleet.others.add(fleet.programs.standin(
                 "rows", List.of("rows", "--listen", fleet.store(), "--manifest", manifest.toString())));
@@ -263,6 +281,16 @@
         return address(host, 1);
     }
 
+    /**
+     * Returns where the node of a host tells whether it is ready.
+     *
+     * @param host the host
+     * @return the address
+     */
+    public String ready(int host) {
+        return address(host, 2);
+    }
+
     /**
      * Returns where the backend server of a host serves its node and is controlled.
      *
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayMain.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayMain.java
@@ -76,6 +76,9 @@
 
     private static ExitCode serve(SettingsWatch watch, RelayNodeSettings settings) {
         Logger log = LoggerFactory.getLogger(RelayMain.class);
+        if (!ClassArchive.isInUse(System.getProperty("java.vm.info", ""))) {
+            log.warn("the class archive was refused, so that the start takes longer; -Xshare:on names the reason");
+        }
         try (RelayProcess process = new RelayProcess(settings, watch)) {
             process.run();
             return ExitCode.OK;
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/net/EndToEndFields.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/net/EndToEndFields.java
@@ -1,6 +1,7 @@
 package org.verbenamast.relay.net;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -26,8 +27,21 @@
             "transfer-encoding",
             "upgrade");
 
+    private static final BitSet HOP_BY_HOP_LENGTHS = lengths();
+
     private EndToEndFields() {}
 
+    private static BitSet lengths() {
+        BitSet lengths = new BitSet();
+        HOP_BY_HOP_FIELDS.forEach(name -> lengths.set(name.length()));
+        return lengths;
+    }
+
+    /** Returns whether a field belongs to one connection; the length alone rules out most names. */
+    private static boolean isHopByHop(String name) {
+        return HOP_BY_HOP_LENGTHS.get(name.length()) && HOP_BY_HOP_FIELDS.contains(name.toLowerCase(Locale.ROOT));
+    }
+
     /**
      * Returns the fields to forward.
      *
@@ -39,7 +53,7 @@
         List<RelayField> fields = new ArrayList<>();
         for (Map.Entry<String, String> field : headers) {
             String name = field.getKey();
-            if (!HOP_BY_HOP_FIELDS.contains(name.toLowerCase(Locale.ROOT)) && !excluded.test(name)) {
+            if (!isHopByHop(name) && !excluded.test(name)) {
                 fields.add(RelayField.newBuilder()
                         .setName(name)
                         .setValue(field.getValue())
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/net/HttpCodec.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/net/HttpCodec.java
@@ -1,19 +1,28 @@
 package org.verbenamast.relay.net;
 
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Objects;
+import java.util.Queue;
+
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufHolder;
 import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
-import io.netty.channel.ChannelHandler;
-import io.netty.channel.embedded.EmbeddedChannel;
-import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.codec.http.LastHttpContent;
 
-/** Encodes and decodes HTTP/1.1 on one connection with Netty's codecs, in an embedded channel without a transport. */
+/**
+ * Encodes and decodes HTTP/1.1 on one connection. Calls Netty's decoders directly: a channel and its pipeline cost more
+ * than the decoding itself.
+ */
 public final class HttpCodec implements AutoCloseable {
 
     /** Longest request line or status line, in bytes; the platform's limit on heads is lower than both together. */
@@ -23,12 +32,15 @@
 
     private static final UnpooledByteBufAllocator HEAP = new UnpooledByteBufAllocator(false, true);
 
-    private final EmbeddedChannel channel;
+    private final PartDecoder decoder;
+    private final MessageEncoder encoder;
+    private final Deque<HttpObject> parts = new ArrayDeque<>();
+    private final List<Object> decoded = new ArrayList<>();
+    private ByteBuf undecoded = Unpooled.EMPTY_BUFFER;
 
-    private HttpCodec(ChannelHandler... handlers) {
-        this.channel = new EmbeddedChannel();
-        channel.config().setAllocator(HEAP);
-        channel.pipeline().addLast(handlers);
+    private HttpCodec(PartDecoder decoder, Queue<HttpMethod> methods) {
+        this.decoder = Objects.requireNonNull(decoder, "decoder");
+        this.encoder = new MessageEncoder(methods);
     }
 
     /**
@@ -38,7 +50,8 @@
      * @return the codec
      */
     public static HttpCodec server(int maxHeadBytes) {
-        return new HttpCodec(new HttpServerCodec(config(maxHeadBytes)));
+        Queue<HttpMethod> methods = new ArrayDeque<>();
+        return new HttpCodec(new RequestDecoder(config(maxHeadBytes), methods), methods);
     }
 
     /**
@@ -48,7 +61,7 @@
      * @return the codec
      */
     static HttpCodec client(ResponseDecoder decoder) {
-        return new HttpCodec(new HttpRequestEncoder(), decoder);
+        return new HttpCodec(decoder, new ArrayDeque<>());
     }
 
     /** Returns the settings of a decoder that accepts heads of the given length, in bytes. */
@@ -65,12 +78,56 @@
      * @param bytes the bytes in the order of the connection
      */
     public void received(byte[] bytes) {
-        channel.writeInbound(Unpooled.wrappedBuffer(bytes));
+        if (bytes.length > 0) {
+            undecoded = ByteToMessageDecoder.MERGE_CUMULATOR.cumulate(HEAP, undecoded, Unpooled.wrappedBuffer(bytes));
+        }
+        try {
+            decodeAll();
+        } catch (DecoderException e) {
+            throw e;
+        } catch (Exception e) {
+            throw new DecoderException(e);
+        }
+    }
+
+    private void decodeAll() throws Exception {
+        while (undecoded.isReadable()) {
+            int before = undecoded.readableBytes();
+            decoder.decodePart(undecoded, decoded);
+            boolean progress = undecoded.readableBytes() < before;
+            if (!progress && !decoded.isEmpty()) {
+                throw new DecoderException("the decoder should consume the bytes of a part but consumed none");
+            }
+            takeDecoded();
+            if (!progress) {
+                return;
+            }
+        }
+    }
+
+    private void takeDecoded() {
+        for (int i = 0; i < decoded.size(); i++) {
+            parts.add((HttpObject) decoded.get(i));
+        }
+        decoded.clear();
+    }
+
+    /** Returns whether bytes have arrived that belong to none of the parts decoded so far. */
+    boolean hasUndecodedBytes() {
+        return undecoded.isReadable();
     }
 
     /** Handles an orderly close by the peer, which ends a body that has no other framing. */
     public void inputEnded() {
-        channel.pipeline().fireChannelInactive();
+        try {
+            decodeAll();
+            decoder.decodeLastPart(undecoded, decoded);
+            takeDecoded();
+        } catch (DecoderException e) {
+            throw e;
+        } catch (Exception e) {
+            throw new DecoderException(e);
+        }
     }
 
     /**
@@ -79,25 +136,23 @@
      * @return a head or a piece of a body, or null if more bytes are needed
      */
     public HttpObject next() {
-        return channel.readInbound();
+        return parts.poll();
     }
 
     /**
      * Encodes one part of a message.
      *
-     * @param part a head, a piece of a body, or the end of a body
+     * @param part a head, a whole message, or a piece of a body
      * @return the bytes to send
      */
     public byte[] encode(HttpObject part) {
-        channel.writeOutbound(part);
-        ByteBuf joined = HEAP.buffer();
-        for (ByteBuf piece = channel.readOutbound(); piece != null; piece = channel.readOutbound()) {
-            joined.writeBytes(piece);
-            piece.release();
+        if (part instanceof HttpMessage message) {
+            return encoder.encode(message);
         }
-        byte[] bytes = bytesOf(joined);
-        joined.release();
-        return bytes;
+        if (part instanceof HttpContent content) {
+            return encode(bytes(content));
+        }
+        throw new IllegalArgumentException("part should be a message or a piece of one but is " + part);
     }
 
     /**
@@ -107,7 +162,7 @@
      * @return the bytes to send
      */
     public byte[] encode(byte[] bytes) {
-        return bytes.length == 0 ? bytes : encode(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+        return encoder.piece(bytes);
     }
 
     /**
@@ -116,7 +171,7 @@
      * @return the bytes to send
      */
     public byte[] encodeEnd() {
-        return encode(LastHttpContent.EMPTY_LAST_CONTENT);
+        return encoder.end();
     }
 
     /**
@@ -125,20 +180,18 @@
      * @param content the piece
      * @return its bytes
      */
-    public static byte[] bytes(HttpContent content) {
-        byte[] bytes = bytesOf(content.content());
-        content.release();
-        return bytes;
-    }
-
-    private static byte[] bytesOf(ByteBuf buf) {
+    public static byte[] bytes(ByteBufHolder content) {
+        ByteBuf buf = content.content();
         byte[] bytes = new byte[buf.readableBytes()];
         buf.readBytes(bytes);
+        content.release();
         return bytes;
     }
 
     @Override
     public void close() {
-        channel.finishAndReleaseAll();
+        parts.clear();
+        undecoded.release();
+        undecoded = Unpooled.EMPTY_BUFFER;
     }
 }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/net/HttpLink.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/net/HttpLink.java
@@ -201,7 +201,7 @@
             return;
         }
         decoder.resume();
-        if (decoder.hasUndecodedBytes()) {
+        if (codec.hasUndecodedBytes()) {
             codec.received(NO_BYTES);
         }
     }
@@ -209,7 +209,7 @@
     /** Detaches the handler after a complete response, so that the next request can begin. */
     public void release() {
         handler = null;
-        if (decoder.hasUndecodedBytes()) {
+        if (codec.hasUndecodedBytes()) {
             end(false);
         }
     }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/net/ResponseDecoder.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/net/ResponseDecoder.java
@@ -17,7 +17,7 @@
  * Decodes one response at a time. It stops after the end of each, so that bytes which follow it on the connection never
  * become part of the next response unnoticed.
  */
-final class ResponseDecoder extends HttpResponseDecoder {
+final class ResponseDecoder extends HttpResponseDecoder implements PartDecoder {
 
     /** A status line within a head: the head began with a fragment of another response. */
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]");
@@ -34,11 +34,6 @@
         method = next;
     }
 
-    /** Returns whether bytes have arrived that belong to none of the responses decoded so far. */
-    boolean hasUndecodedBytes() {
-        return actualReadableBytes() > 0;
-    }
-
     /** Continues with the next response on the connection. */
     void resume() {
         stopped = false;
@@ -52,6 +47,16 @@
         }
     }
 
+    @Override
+    public void decodePart(ByteBuf in, List<Object> out) throws Exception {
+        decode(null, in, out);
+    }
+
+    @Override
+    public void decodeLastPart(ByteBuf in, List<Object> out) throws Exception {
+        decodeLast(null, in, out);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return HttpMethod.HEAD.equals(method) || super.isContentAlwaysEmpty(message);
