HTTP messages are encoded by Netty's encoders, without a channel for each connection

Cause: heads and bodies were encoded by code of the project's own, though plumbing comes from well-kept libraries. Change: RequestEncoder and ResponseEncoder are Netty's, called with one shared context, of which they take the allocator. Result: 139 tests of the relay's callers, servers and store client pass.

--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/net/HttpCodec.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/net/HttpCodec.java
@@ -8,19 +8,23 @@
 import java.util.Queue;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufHolder;
 import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.EncoderException;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.LastHttpContent;
 
 /**
- * Encodes and decodes HTTP/1.1 on one connection. Calls Netty's decoders directly: a channel and its pipeline cost more
+ * Encodes and decodes HTTP/1.1 on one connection. Calls Netty's codecs directly: a channel and its pipeline cost more
  * than the decoding itself.
  */
 public final class HttpCodec implements AutoCloseable {
@@ -32,15 +36,24 @@
 
     private static final UnpooledByteBufAllocator HEAP = new UnpooledByteBufAllocator(false, true);
 
+    /** The context of one channel that all encoders share, as they ask it for the allocator alone. */
+    private static final ChannelHandlerContext CONTEXT = newContext();
+
     private final PartDecoder decoder;
-    private final MessageEncoder encoder;
+    private final PartEncoder encoder;
     private final Deque<HttpObject> parts = new ArrayDeque<>();
     private final List<Object> decoded = new ArrayList<>();
     private ByteBuf undecoded = Unpooled.EMPTY_BUFFER;
 
-    private HttpCodec(PartDecoder decoder, Queue<HttpMethod> methods) {
+    private HttpCodec(PartDecoder decoder, PartEncoder encoder) {
         this.decoder = Objects.requireNonNull(decoder, "decoder");
-        this.encoder = new MessageEncoder(methods);
+        this.encoder = Objects.requireNonNull(encoder, "encoder");
+    }
+
+    private static ChannelHandlerContext newContext() {
+        EmbeddedChannel channel = new EmbeddedChannel(new ChannelInboundHandlerAdapter());
+        channel.config().setAllocator(HEAP);
+        return channel.pipeline().firstContext();
     }
 
     /**
@@ -51,7 +64,7 @@
      */
     public static HttpCodec server(int maxHeadBytes) {
         Queue<HttpMethod> methods = new ArrayDeque<>();
-        return new HttpCodec(new RequestDecoder(config(maxHeadBytes), methods), methods);
+        return new HttpCodec(new RequestDecoder(config(maxHeadBytes), methods), new ResponseEncoder(methods));
     }
 
     /**
@@ -61,7 +74,7 @@
      * @return the codec
      */
     static HttpCodec client(ResponseDecoder decoder) {
-        return new HttpCodec(decoder, new ArrayDeque<>());
+        return new HttpCodec(decoder, new RequestEncoder());
     }
 
     /** Returns the settings of a decoder that accepts heads of the given length, in bytes. */
@@ -146,13 +159,20 @@
      * @return the bytes to send
      */
     public byte[] encode(HttpObject part) {
-        if (part instanceof HttpMessage message) {
-            return encoder.encode(message);
+        List<Object> buffers = new ArrayList<>();
+        try {
+            encoder.encodePart(CONTEXT, part, buffers);
+        } catch (EncoderException e) {
+            throw e;
+        } catch (Exception e) {
+            throw new EncoderException(e);
         }
-        if (part instanceof HttpContent content) {
-            return encode(bytes(content));
+        ByteBuf joined = HEAP.buffer();
+        for (Object buffer : buffers) {
+            joined.writeBytes((ByteBuf) buffer);
+            ((ByteBuf) buffer).release();
         }
-        throw new IllegalArgumentException("part should be a message or a piece of one but is " + part);
+        return bytesOf(joined);
     }
 
     /**
@@ -162,7 +182,7 @@
      * @return the bytes to send
      */
     public byte[] encode(byte[] bytes) {
-        return encoder.piece(bytes);
+        return bytes.length == 0 ? bytes : encode(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
     }
 
     /**
@@ -171,7 +191,7 @@
      * @return the bytes to send
      */
     public byte[] encodeEnd() {
-        return encoder.end();
+        return encode(LastHttpContent.EMPTY_LAST_CONTENT);
     }
 
     /**
@@ -180,11 +200,15 @@
      * @param content the piece
      * @return its bytes
      */
-    public static byte[] bytes(ByteBufHolder content) {
-        ByteBuf buf = content.content();
+    public static byte[] bytes(HttpContent content) {
+        byte[] bytes = bytesOf(content.content());
+        content.release();
+        return bytes;
+    }
+
+    private static byte[] bytesOf(ByteBuf buf) {
         byte[] bytes = new byte[buf.readableBytes()];
         buf.readBytes(bytes);
-        content.release();
         return bytes;
     }
 
