Caps: tokens that a bank grants to the nodes with requests

Cause: nothing kept a tenant's requests at all nodes together within its rate.

Change: each request of a tenant with a rate takes a token. Every node has an equal share of each cap and cedes it for a second to the bank, a member that all choose alike; the bank mints for the shares ceded to it and grants tokens on demand. Several banks at once grant no more than one, a silent one costs a second, and a node that is cut off spends its own share. Beyond the cap: 429 at once, with the time of the next token. Tokens live so long, and are minted so fast, that any window holds the bound. Without caps there is no message and no state.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
@@ -28,6 +28,7 @@
 import org.verbenamast.core.rows.StoreResult;
 import org.verbenamast.core.rows.StoreVersion;
 import org.verbenamast.core.rows.StoredRow;
+import org.verbenamast.core.tenant.CapController;
 import org.verbenamast.core.watch.FollowController;
 import org.verbenamast.core.watch.FollowedTable;
 
@@ -51,6 +52,7 @@
     private final OwnRows ownRows;
     private final NoticeController notices;
     private final FollowController follow;
+    private final CapController caps;
     private final Evacuation evacuation;
     private final ActiveManifest manifest = new ActiveManifest();
     private long nextReportAt;
@@ -76,6 +78,7 @@
         this.admission = new AdmissionController(this, listener);
         this.keys = new KeyController(
                 settings.keyed(), roster, replica, entry::isReachable, follow::membersAsOf, follow.eras(), listener);
+        this.caps = settings.newCapController(roster, listener);
         this.ownRows = new OwnRows(settings, replica, backend, crashReports, listener);
         this.notices = new NoticeController(
                 new ServerNotices(settings, backend, crashReports, keys, ownRows, this::isKeyed), listener);
@@ -132,6 +135,7 @@
         if (!manifest.accept(next)) {
             return false;
         }
+        caps.onManifest(next, now, effects);
         updateAdmission(now, effects);
         return true;
     }
@@ -271,6 +275,7 @@
         reviewNotices(now, effects);
         ownRows.advance(now, effects);
         reportOwners(now, effects);
+        caps.advance(now, effects);
         entry.advance(now, effects);
         admission.advance(now, effects);
         if (isKeyed()) {
@@ -290,7 +295,7 @@
     public long nextDue() {
         long due = Math.min(Math.min(backend.nextDue(), ownRows.nextDue()), follow.nextDue());
         due = Math.min(due, notices.nextDue());
-        due = Math.min(due, Math.min(entry.nextDue(), admission.nextDue()));
+        due = Math.min(Math.min(due, caps.nextDue()), Math.min(entry.nextDue(), admission.nextDue()));
         return isKeyed() ? Math.min(due, Math.min(keys.nextDue(), nextReportAt)) : due;
     }
 
@@ -323,6 +328,15 @@
         return crashReports;
     }
 
+    /**
+     * Returns the controller of the tenants' caps.
+     *
+     * @return the controller
+     */
+    public CapController caps() {
+        return caps;
+    }
+
     /**
      * Returns the manifest in force.
      *
--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelaySettings.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelaySettings.java
@@ -3,12 +3,15 @@
 import java.util.Objects;
 import java.util.function.DoubleSupplier;
 
+import org.verbenamast.core.chart.TransitionListener;
 import org.verbenamast.core.check.Checks;
 import org.verbenamast.core.keys.KeyControllerSettings;
 import org.verbenamast.core.keys.KeyLeaseTimings;
 import org.verbenamast.core.model.Address;
 import org.verbenamast.core.model.Zone;
 import org.verbenamast.core.roster.Heartbeat;
+import org.verbenamast.core.roster.Roster;
+import org.verbenamast.core.tenant.CapController;
 
 /**
  * The identity of a node and its settings.
@@ -56,6 +59,11 @@
         return new KeyControllerSettings(node, incarnation, service, leaseTimings, startedAt);
     }
 
+    /** Creates the controller of the tenants' caps. */
+    CapController newCapController(Roster roster, TransitionListener listener) {
+        return new CapController(node, incarnation, startedAt, roster, limits.caps(), random, listener);
+    }
+
     /** Returns whether a heartbeat is of the server beside the node. */
     boolean isOfServerHere(Heartbeat heartbeat) {
         return heartbeat.service().equals(service) && heartbeat.address().equals(server.toString());
--- /dev/null
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/tenant/CapControllerTest.java
@@ -0,0 +1,156 @@
+package org.verbenamast.core.tenant;
+
+import java.util.Random;
+import java.util.function.IntSupplier;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/** Caps over 80 nodes, on virtual time. */
+class CapControllerTest {
+
+    private static final int NODES = 80;
+    private static final int WARM_UP_MILLIS = 6_000;
+    private static final int TEST_MILLIS = 60_000;
+    /** What the tenant's callers ask for: twice the cap of 100 requests a second. */
+    private static final double REQUESTS_PER_MILLI = 0.2;
+    /** (100/s x 5 s + 100) x 1.1 + 20. */
+    private static final int BOUND = 680;
+
+    private static final long WINDOW_NANOS = 5_000 * CapFleet.MILLI;
+
+    private final CapFleet fleet = new CapFleet(NODES, true);
+    private final Random random = new Random(7);
+
+    /** What fails while the tenant asks for more than its cap. */
+    private enum Trouble {
+        NONE,
+        BANK_LOST {
+            @Override
+            void at(int milli, CapFleet fleet) {
+                if (milli == 20_000) {
+                    fleet.stopped.add(fleet.bank());
+                }
+            }
+        },
+        BANK_RESTARTED {
+            @Override
+            void at(int milli, CapFleet fleet) {
+                if (milli == 20_000) {
+                    fleet.start(fleet.bank());
+                }
+            }
+        },
+        ALL_RESTARTED_IN_TURN {
+            @Override
+            void at(int milli, CapFleet fleet) {
+                if (milli >= 20_000 && milli < 20_000 + 80 * 200 && milli % 200 == 0) {
+                    fleet.start((milli - 20_000) / 200);
+                }
+            }
+        },
+        ONE_NODE_CUT_OFF {
+            @Override
+            void at(int milli, CapFleet fleet) {
+                if (milli == 20_000) {
+                    fleet.cut.add(fleet.bank());
+                }
+                if (milli == 30_000) {
+                    fleet.cut.clear();
+                }
+            }
+        },
+        /** Each half keeps to its half of the cap, and the demand is mostly in one of them. */
+        HALF_CUT_OFF(0.8) {
+            @Override
+            void at(int milli, CapFleet fleet) {
+                if (milli == 20_000) {
+                    for (int node = 0; node < NODES / 2; node++) {
+                        fleet.cut.add(node);
+                    }
+                }
+                if (milli == 30_000) {
+                    fleet.cut.clear();
+                }
+            }
+        },
+        CUT_COMES_AND_GOES(0) {
+            @Override
+            void at(int milli, CapFleet fleet) {
+                if (milli % 700 == 0) {
+                    fleet.cut.clear();
+                    if (milli % 1_400 == 0) {
+                        fleet.cut.add(fleet.bank());
+                    }
+                }
+            }
+        },
+        VIEWS_DIFFER {
+            @Override
+            void at(int milli, CapFleet fleet) {
+                if (milli % 1_000 == 0) {
+                    int bank = fleet.bank();
+                    for (int node = 0; node < NODES; node += 2) {
+                        fleet.roster(node).remove("node-" + bank);
+                    }
+                }
+            }
+        };
+
+        /** Least part of the cap that is used while it lasts. */
+        private final double leastUsed;
+
+        Trouble() {
+            this(0.9);
+        }
+
+        Trouble(double leastUsed) {
+            this.leastUsed = leastUsed;
+        }
+
+        void at(int milli, CapFleet fleet) {}
+    }
+
+    private void run(int millis, double perMilli, IntSupplier place, Trouble trouble) {
+        for (int milli = 0; milli < millis; milli++) {
+            trouble.at(milli, fleet);
+            fleet.step();
+            if (random.nextDouble() < perMilli) {
+                fleet.request(place.getAsInt());
+            }
+        }
+    }
+
+    /** Demand that is at three nodes, and at three others two seconds later. */
+    private int moving() {
+        long period = fleet.now() / (2_000 * CapFleet.MILLI);
+        return (int) ((period * 31 + random.nextInt(3) * 17) % NODES);
+    }
+
+    @ParameterizedTest
+    @EnumSource(Trouble.class)
+    void should_stay_within_the_cap_and_use_it_when_demand_moves(Trouble trouble) {
+        // given
+        run(WARM_UP_MILLIS, 0, () -> 0, Trouble.NONE);
+        long from = fleet.now();
+
+        // when
+        run(TEST_MILLIS, REQUESTS_PER_MILLI, this::moving, trouble);
+
+        // then
+        double used = fleet.grantedBetween(from, fleet.now()) / (100.0 * TEST_MILLIS / 1_000);
+        System.out.printf(
+                "%s: used %.3f, most %d of %d, messages %.2f a second and node, refused %d, held %d%n",
+                trouble,
+                used,
+                fleet.mostGranted(WINDOW_NANOS, 0),
+                BOUND,
+                fleet.messages / (double) NODES / ((WARM_UP_MILLIS + TEST_MILLIS) / 1_000),
+                fleet.refused,
+                fleet.held);
+        assertThat(fleet.mostGranted(WINDOW_NANOS, 0)).isLessThanOrEqualTo(BOUND);
+        assertThat(used).isGreaterThanOrEqualTo(trouble.leastUsed);
+    }
+}
--- a/verbenamast-ctl/src/main/java/org/verbenamast/ctl/ChartCommands.java
+++ b/verbenamast-ctl/src/main/java/org/verbenamast/ctl/ChartCommands.java
@@ -13,6 +13,7 @@
     static final List<String> NAMES = List.of(
             "backend",
             "bootstrap",
+            "cap-share",
             "change",
             "command",
             "entry",
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
@@ -29,6 +29,7 @@
 import org.verbenamast.core.rows.StoredRow;
 import org.verbenamast.core.stop.StopController;
 import org.verbenamast.core.stop.StopEffect;
+import org.verbenamast.core.tenant.CapEffect;
 import org.verbenamast.core.watch.FollowEffect;
 import org.verbenamast.core.watch.FollowResult;
 import org.verbenamast.core.watch.FollowedTable;
@@ -222,6 +223,9 @@
             front.run(answer);
         } else if (effect instanceof KeyEffect.SendLoadReport report) {
             peerSender.send(report);
+        } else if (effect instanceof CapEffect cap) {
+            peerSender.send(cap);
+            callers.run(cap);
         } else if (effect instanceof KeyEffect.Granted granted) {
             BeliefLog.granted(granted);
         } else if (effect instanceof KeyEffect.Withdrawn withdrawn) {
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerExchange.java
@@ -7,14 +7,18 @@
 
 import io.activej.promise.Promise;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.verbenamast.core.entry.EntryEffect;
 import org.verbenamast.core.entry.EntryRequest;
 import org.verbenamast.core.gate.crash.FingerprintDigest;
 import org.verbenamast.core.node.Timing;
 import org.verbenamast.core.relay.RelayCore;
 import org.verbenamast.core.tenant.CallerIdentity;
+import org.verbenamast.core.tenant.CapDecision;
 import org.verbenamast.core.tenant.KeyVerdict;
 import org.verbenamast.core.watch.StoreVersions;
+import org.verbenamast.platform.RequestFields;
 import org.verbenamast.relay.RelayLoop;
 import org.verbenamast.relay.peer.PeerPool;
 import org.verbenamast.relay.telemetry.LogField;
@@ -31,6 +35,8 @@
     /** The number of no attempt. */
     private static final int NO_ATTEMPT = 0;
 
+    private static final Logger LOG = LoggerFactory.getLogger(CallerExchange.class);
+
     private final EntryRequest request;
     private final CallerIdentity identity;
     private final RelayOpen head;
@@ -44,6 +50,9 @@
     private final List<ExchangeAttempt> openAttempts = new ArrayList<>();
 
     private final FingerprintDigest content;
+    private boolean admitted;
+    private long tokenExpiresAt;
+    private boolean reachedServer;
     private boolean opened;
     private boolean replayable = true;
     private boolean bodyEnded;
@@ -82,8 +91,41 @@
         return request;
     }
 
+    /** Has the request decided on as soon as it has a token of its tenant's cap, if there is one. */
+    void begin() {
+        if (identity.tenant().isEmpty()) {
+            admit(0);
+            return;
+        }
+        loop.run((now, effects) -> {
+            CapDecision decision =
+                    core.caps().admit(request.id(), identity.tenant().get(), now, effects);
+            switch (decision.kind()) {
+                case ADMITTED -> admit(decision.tokenExpiresAt());
+                case REFUSED -> refuseBeyondCap(decision.retryAfterMillis());
+                default -> LOG.trace("request {} waits for a token", request.id());
+            }
+        });
+    }
+
+    /** Lets the request go on; its token is valid until a time. */
+    void admit(long expiresAt) {
+        admitted = true;
+        tokenExpiresAt = expiresAt;
+        open();
+    }
+
+    /** Refuses the request, which lies beyond the cap of its tenant. */
+    void refuseBeyondCap(long retryAfterMillis) {
+        logEnd("refused", "BEYOND_CAP", retryAfterMillis);
+        reply.answer(HttpResponseStatus.TOO_MANY_REQUESTS, RequestFields.retryAfter(retryAfterMillis));
+    }
+
     /** Has the request decided on, once its body is known if that matters. */
     void open() {
+        if (!admitted) {
+            return;
+        }
         boolean bodyMatters =
                 !bodyEnded && !content.isFull() && core.crashReports().mayBeSuspect(content.fingerprint());
         if (!opened && !bodyMatters) {
@@ -160,7 +202,10 @@
     }
 
     void onCallerGone() {
-        loop.run((now, effects) -> core.entry().onCallerGone(request.id(), now, effects));
+        loop.run((now, effects) -> {
+            core.caps().forget(request.id());
+            core.entry().onCallerGone(request.id(), now, effects);
+        });
     }
 
     /** Executes an effect of the entry node's decision. */
@@ -176,6 +221,7 @@
             peer = answered.peer();
             answered.deliver();
         } else if (effect instanceof EntryEffect.Refuse refuse) {
+            core.caps().giveBack(identity.tenantName(), tokenExpiresAt, RelayLoop.now());
             logEnd("refused", refuse.reason().name(), refuse.retryAfterMillis());
             reply.refuse(refuse.retryAfterMillis());
         } else if (effect instanceof EntryEffect.Fail fail) {
@@ -213,6 +259,9 @@
 
     private void openAttempt(EntryEffect.OpenAttempt open) {
         attempts++;
+        if (reachedServer) {
+            core.caps().charge(identity.tenantName(), RelayLoop.now());
+        }
         peer = open.target().node();
         long now = RelayLoop.now();
         StoreVersions versions = core.follow().versions(now);
@@ -260,6 +309,7 @@
         if (request.route().kind().hasLargeBodies()) {
             sendBody(attempt);
         }
+        reachedServer = true;
         reply.onAccepted();
     }
 
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerServer.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerServer.java
@@ -36,6 +36,7 @@
 import org.verbenamast.core.node.Timing;
 import org.verbenamast.core.relay.RelayCore;
 import org.verbenamast.core.tenant.CallerIdentity;
+import org.verbenamast.core.tenant.CapEffect;
 import org.verbenamast.platform.RequestFields;
 import org.verbenamast.relay.RelayLoop;
 import org.verbenamast.relay.net.EndToEndFields;
@@ -181,6 +182,19 @@
         }
     }
 
+    /**
+     * Executes an effect on a request that waited for a token of its tenant's cap; ignores it if the request has ended.
+     *
+     * @param effect the effect
+     */
+    public void run(CapEffect effect) {
+        if (effect instanceof CapEffect.Admit admit && exchanges.containsKey(admit.id())) {
+            exchanges.get(admit.id()).admit(admit.tokenExpiresAt());
+        } else if (effect instanceof CapEffect.Refuse refuse && exchanges.containsKey(refuse.id())) {
+            exchanges.get(refuse.id()).refuseBeyondCap(refuse.retryAfterMillis());
+        }
+    }
+
     /** Ends the requests that wait and whose caller's key was withdrawn by the manifest that is in force now. */
     public void onManifestChanged() {
         List.copyOf(exchanges.values()).forEach(CallerExchange::onManifestChanged);
@@ -273,7 +287,7 @@
                 new CallerExchange(request, identity, openFrame(head, identity, route), reply, core, loop, pool, log);
         exchanges.put(request.id(), exchange);
         reply.setExchange(exchange);
-        exchange.open();
+        exchange.begin();
     }
 
     private OptionalInt key(HttpRequest head, String targetService) {
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateServer.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateServer.java
@@ -28,8 +28,10 @@
 import org.verbenamast.relay.telemetry.Hop;
 import org.verbenamast.relay.telemetry.RequestCounts;
 import org.verbenamast.relay.telemetry.RequestLog;
+import org.verbenamast.wire.WireException;
 import org.verbenamast.wire.generated.RelayFrame;
 import org.verbenamast.wire.generated.RelayOpen;
+import org.verbenamast.wire.relay.CapFrames;
 import org.verbenamast.wire.relay.RelayFrames;
 
 /** Accepts links from all nodes, this one included, and their requests for the backend server beside this node. */
@@ -179,6 +181,16 @@
                 case HEAT ->
                     loop.run((now, effects) -> core.keys().onLoadReport(RelayFrames.heat(frame.getHeat()), now));
                 case ROWS -> rows(frame);
+                case CAP_REPORT ->
+                    CapFrames.report(frame.getCapReport())
+                            .peek(report ->
+                                    loop.run((now, effects) -> core.caps().onReport(report, now, effects)))
+                            .peekLeft(this::ignore);
+                case CAP_GRANT ->
+                    CapFrames.grant(frame.getCapGrant())
+                            .peek(grant ->
+                                    loop.run((now, effects) -> core.caps().onGrant(grant, now, effects)))
+                            .peekLeft(this::ignore);
                 default -> {
                     LOG.warn("closing a link from another node: received an unexpected frame {}", frame.getBodyCase());
                     link.close();
@@ -214,6 +226,10 @@
             }
         }
 
+        private void ignore(WireException fault) {
+            LOG.warn("ignoring a message about caps from another node: {}", fault.getMessage());
+        }
+
         private void rows(RelayFrame frame) {
             List<StoredRow> rows = RelayFrames.rows(
                     frame.getRows(),
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/PeerNotifier.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/PeerNotifier.java
@@ -7,7 +7,9 @@
 import org.verbenamast.core.model.Address;
 import org.verbenamast.core.roster.Member;
 import org.verbenamast.core.rows.BroadcastRows;
+import org.verbenamast.core.tenant.CapEffect;
 import org.verbenamast.wire.generated.RelayFrame;
+import org.verbenamast.wire.relay.CapFrames;
 import org.verbenamast.wire.relay.RelayFrames;
 
 /** Sends notifications to other nodes. Losing one does no harm: the node learns the same later in another way. */
@@ -33,6 +35,19 @@
         send(effect.to().peer(), RelayFrames.heat(effect.report()));
     }
 
+    /**
+     * Sends a report to the bank of the tenants' caps, or the bank's answer.
+     *
+     * @param effect the message and its receiver; effects on requests are ignored
+     */
+    public void send(CapEffect effect) {
+        if (effect instanceof CapEffect.SendReport report) {
+            send(report.to().peer(), CapFrames.report(report.report()));
+        } else if (effect instanceof CapEffect.SendGrant grant) {
+            send(grant.to().peer(), CapFrames.grant(grant.grant()));
+        }
+    }
+
     /**
      * Sends rows to all members but this node.
      *
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/MetricsPage.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/MetricsPage.java
@@ -19,11 +19,15 @@
 import org.verbenamast.core.admission.AdmissionLoad;
 import org.verbenamast.core.keys.KeyStatus;
 import org.verbenamast.core.relay.RelayCore;
+import org.verbenamast.core.tenant.CapUsage;
 import org.verbenamast.relay.RelayLoop;
 
 /** Renders the metrics of a node in the Prometheus text format, from the current state at each request. */
 public final class MetricsPage {
 
+    /** Limit on the series of tenants, of which a manifest may name any number. */
+    private static final int MAX_TENANT_SERIES = 200;
+
     private static final String PREFIX = "verbenamast_relay_";
     private static final double NANOS_PER_SECOND = 1e9;
     private static final double MILLIS_PER_SECOND = 1_000;
@@ -56,6 +60,7 @@
                 .metricSnapshot(storeCalls());
         addServer(snapshots, core.admission().load(now));
         addNode(snapshots);
+        addCaps(snapshots, now);
         addKeys(snapshots, core.keys().status(now));
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         PrometheusTextFormatWriter.create().write(out, snapshots.build(), EscapingScheme.DEFAULT);
@@ -92,6 +97,43 @@
                 counter("errors", "Decisions and effects that failed with an unexpected error.", counts.errors()));
     }
 
+    private void addCaps(MetricSnapshots.Builder snapshots, long now) {
+        if (!core.caps().isActive()) {
+            return;
+        }
+        snapshots.metricSnapshot(gauge(
+                "cap_bank_nodes",
+                "Nodes that have ceded their share of the caps to this node as the bank.",
+                core.caps().cedingNodes(now)));
+        snapshots.metricSnapshot(counter(
+                "cap_grants_rejected",
+                "Grants of a bank that were not accepted.",
+                core.caps().rejectedGrants()));
+        GaugeSnapshot.Builder tokens =
+                GaugeSnapshot.builder().name(PREFIX + "cap_tokens").help("Tokens that the node holds, by tenant.");
+        CounterSnapshot.Builder requests = CounterSnapshot.builder()
+                .name(PREFIX + "cap_requests")
+                .help("Requests of tenants with a cap, by tenant and by whether they got a token.");
+        core.caps().usage(now).entrySet().stream().limit(MAX_TENANT_SERIES).forEach(entry -> {
+            CapUsage usage = entry.getValue();
+            tokens.dataPoint(GaugeDataPointSnapshot.builder()
+                    .labels(Labels.of("tenant", entry.getKey()))
+                    .value(usage.tokens())
+                    .build());
+            requests.dataPoint(capRequests(entry.getKey(), "admitted", usage.admitted()));
+            requests.dataPoint(capRequests(entry.getKey(), "refused", usage.refused()));
+        });
+        snapshots.metricSnapshot(tokens.build());
+        snapshots.metricSnapshot(requests.build());
+    }
+
+    private static CounterDataPointSnapshot capRequests(String tenant, String outcome, long count) {
+        return CounterDataPointSnapshot.builder()
+                .labels(Labels.of("tenant", tenant, "outcome", outcome))
+                .value(count)
+                .build();
+    }
+
     private static void addKeys(MetricSnapshots.Builder snapshots, KeyStatus keys) {
         snapshots.metricSnapshot(gauge("key_ranges_owned", "Ranges of keys that the server owns.", keys.ownedRanges()));
         snapshots.metricSnapshot(gauge(
