Caps: the tolerance is used for the rate, and a bank that is left still serves

Change: tokens live as long as the burst lasts, and more than half of the tolerance of the bound goes into the rate at which they are minted. A node that moves to another bank gets tokens from the former one until its term is over. A bank with a token grants at least one. Changed caps are logged.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/tenant/BankChoice.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/tenant/BankChoice.java
@@ -70,6 +70,10 @@
         return due.flatMap(roster::find);
     }
 
+    boolean isSilent(String name) {
+        return silent.containsKey(name);
+    }
+
     /** Returns whether a member is the bank that was chosen last. */
     boolean isChosen(String name) {
         return name.equals(asked);
--- a/verbenamast-core/src/main/java/org/verbenamast/core/tenant/Cap.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/tenant/Cap.java
@@ -13,7 +13,7 @@
 public record Cap(double mintPerSecond, long lifeNanos) {
 
     /** Part of the tolerance that tokens may use up; the rest covers nodes that disagree on the number of members. */
-    private static final double TOLERANCE_RATIO = 0.4;
+    private static final double TOLERANCE_RATIO = 0.6;
     /** Shortest life of a token, in seconds: it has to reach the node that spends it. */
     private static final double MIN_LIFE_SECONDS = 0.6;
     /** Longest life of a token, in seconds; it bounds what a node remembers. */
@@ -34,8 +34,8 @@
         double windowSeconds = bounds.windowMillis() / MILLIS_PER_SECOND;
         double exact = rate * windowSeconds + tenant.burst();
         double allowed = exact + TOLERANCE_RATIO * (exact * bounds.overage() + bounds.slack());
-        double life = Math.max(MIN_LIFE_SECONDS, Math.min(MAX_LIFE_SECONDS, allowed / rate - windowSeconds));
-        return new Cap(Math.min(rate, allowed / (windowSeconds + life)), (long) (life * NANOS_PER_SECOND));
+        double life = Math.max(MIN_LIFE_SECONDS, Math.min(MAX_LIFE_SECONDS, tenant.burst() / rate));
+        return new Cap(allowed / (windowSeconds + life), (long) (life * NANOS_PER_SECOND));
     }
 
     /**
--- a/verbenamast-core/src/main/java/org/verbenamast/core/tenant/CapBank.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/tenant/CapBank.java
@@ -112,7 +112,7 @@
         double available = account.stock.total(now);
         double share = allPerSecond > 0 ? perSecond / allPerSecond : 1;
         boolean enough = available >= allPerSecond * ADVANCE_SECONDS + demand.wanted();
-        long offered = enough ? demand.wanted() : (long) (available * share + random.getAsDouble());
+        long offered = enough ? demand.wanted() : Math.max(1, (long) (available * share + random.getAsDouble()));
         long amount = Math.min(demand.wanted(), Math.min(offered, (long) available));
         TokenStock.Taken taken = account.stock.take(amount, now);
         long lifeMillis = Math.max(0, (taken.expiresAt() - now) / Timing.NANOS_PER_MILLI);
--- a/verbenamast-core/src/main/java/org/verbenamast/core/tenant/CapController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/tenant/CapController.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.DoubleSupplier;
@@ -20,6 +21,7 @@
 import org.verbenamast.core.manifest.Manifest;
 import org.verbenamast.core.manifest.Tenant;
 import org.verbenamast.core.node.Timing;
+import org.verbenamast.core.roster.Member;
 import org.verbenamast.core.roster.Roster;
 
 /**
@@ -202,10 +204,26 @@
         });
         choice.toProbe(now)
                 .ifPresent(silent -> effects.emit(new CapEffect.SendReport(silent, numbered(List.of(), now))));
+        Optional<Member> chosen = choice.choose(now);
         CapReport report = numbered(demands, now);
+        Optional<Member> former = formerBank(chosen, now);
+        if (former.isPresent()) {
+            // Until its term is over, the former bank has the tokens, and the next one none.
+            effects.emit(new CapEffect.SendReport(former.get(), report));
+            report = numbered(List.of(), now);
+        }
         sentAt = now;
         nextReportAt = now + REPORT_INTERVAL_NANOS;
-        share.fire(KEY, ShareEvent.REPORT_DUE, ShareInput.report(choice.choose(now), report), now, effects);
+        share.fire(KEY, ShareEvent.REPORT_DUE, ShareInput.report(chosen, report), now, effects);
+    }
+
+    /** Returns the bank that this node has left while it works, and that mints the node's share for a little longer. */
+    private Optional<Member> formerBank(Optional<Member> chosen, long now) {
+        ShareData data = share.find(KEY).data();
+        boolean left = !data.cededTo().isEmpty()
+                && now < data.cededUntil()
+                && chosen.filter(member -> member.node().equals(data.cededTo())).isEmpty();
+        return left && !choice.isSilent(data.cededTo()) ? roster.find(data.cededTo()) : Optional.empty();
     }
 
     private CapReport numbered(List<CapReport.Demand> demands, long now) {
@@ -242,10 +260,9 @@
             return;
         }
         choice.onAnswered(grant.bank());
-        if (!choice.isChosen(grant.bank())) {
-            return;
+        if (choice.isChosen(grant.bank())) {
+            share.fire(KEY, ShareEvent.ANSWERED, ShareInput.answer(grant), now, effects);
         }
-        share.fire(KEY, ShareEvent.ANSWERED, ShareInput.answer(grant), now, effects);
         for (CapGrant.Tokens tokens : grant.tenants()) {
             accept(tokens, askedAt, now, effects);
         }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
@@ -16,6 +16,8 @@
 import org.verbenamast.core.entry.EntryEffect;
 import org.verbenamast.core.keys.KeyEffect;
 import org.verbenamast.core.keys.KeyLeaseTimings;
+import org.verbenamast.core.manifest.Manifest;
+import org.verbenamast.core.manifest.Tenant;
 import org.verbenamast.core.model.Zone;
 import org.verbenamast.core.node.Timing;
 import org.verbenamast.core.relay.RelayCore;
@@ -272,10 +274,13 @@
     public void onOperatorRows(FollowResult result, List<OperatorRow> rows) {
         loop.run((now, effects) -> {
             long manifestBefore = core.manifest().version();
+            List<Tenant> tenantsBefore =
+                    answers.operators().manifest().map(Manifest::tenants).orElse(List.of());
             Set<Zone> zonesBefore = answers.operators().evacuatedZones();
             answers.onOperatorRows(result, rows, now, effects);
             if (core.manifest().version() != manifestBefore) {
                 answers.operators().manifest().ifPresent(BeliefLog::manifestInForce);
+                answers.operators().manifest().ifPresent(next -> BeliefLog.capsChanged(tenantsBefore, next));
                 callers.onManifestChanged();
             }
             if (!answers.operators().evacuatedZones().equals(zonesBefore)) {
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/BeliefLog.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/BeliefLog.java
@@ -1,11 +1,14 @@
 package org.verbenamast.relay.telemetry;
 
+import java.util.List;
+
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.verbenamast.core.chart.Transition;
 import org.verbenamast.core.keys.GrantedKeys;
 import org.verbenamast.core.keys.KeyEffect;
 import org.verbenamast.core.manifest.Manifest;
+import org.verbenamast.core.manifest.Tenant;
 import org.verbenamast.core.roster.ServerIncarnation;
 
 /** Logs changes in a node's view of the cluster: state transitions, and keys granted to or withdrawn from a server. */
@@ -58,6 +61,29 @@
                         LOG.warn("manifest {} has an entry that can't be read: {}", manifest.version(), gap.fault()));
     }
 
+    /**
+     * Logs the caps of a manifest that are not those of the one before.
+     *
+     * @param before the tenants of the manifest before
+     * @param manifest the manifest that has come into force
+     */
+    public static void capsChanged(List<Tenant> before, Manifest manifest) {
+        manifest.tenants().stream()
+                .filter(tenant -> before.stream().noneMatch(known -> hasSameCap(known, tenant)))
+                .forEach(tenant -> LOG.info(
+                        "cap of {} requests a second, {} at once",
+                        tenant.ratePerSecond(),
+                        tenant.burst(),
+                        LogField.TENANT.of(tenant.name()),
+                        LogField.MANIFEST.of(manifest.version())));
+    }
+
+    private static boolean hasSameCap(Tenant known, Tenant tenant) {
+        return known.name().equals(tenant.name())
+                && known.ratePerSecond() == tenant.ratePerSecond()
+                && known.burst() == tenant.burst();
+    }
+
     /**
      * Logs that the server was granted keys.
      *
