Caps: a bank that has missed a manifest is replaced while it still serves

Its grants were rejected 2.5 s after a new manifest, so that all nodes took it for silent, and the next bank, to which few shares were ceded yet, refused what it had no token for: 259 tries in 1.5 s.

Change: a bank whose answers show an old manifest for a second is replaced like one that is left, and asked again later. A bank to which less than two fifths of the shares are ceded leaves requests waiting instead of refusing them. What operators see of caps is one record.

--- a/verbenamast-core/src/main/java/org/verbenamast/core/tenant/BankChoice.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/tenant/BankChoice.java
@@ -28,11 +28,11 @@
     private String asked = "";
     private long unansweredSince = Long.MAX_VALUE;
 
-    private record Silent(long probeAt, long nanos) {
+    private record Silent(long probeAt, long nanos, boolean answers) {
 
-        static Silent after(Silent before, long now) {
+        static Silent after(Silent before, boolean answers, long now) {
             long nanos = before == null ? MIN_PROBE_NANOS : Math.min(MAX_PROBE_NANOS, 2 * before.nanos());
-            return new Silent(now + nanos, nanos);
+            return new Silent(now + nanos, nanos, answers);
         }
     }
 
@@ -43,7 +43,7 @@
     /** Returns the bank for a report that is sent now. */
     Optional<Member> choose(long now) {
         if (now - unansweredSince > SILENCE_NANOS && unansweredSince != Long.MAX_VALUE) {
-            silent.compute(asked, (name, before) -> Silent.after(before, now));
+            silent.compute(asked, (name, before) -> Silent.after(before, false, now));
             unansweredSince = Long.MAX_VALUE;
         }
         Optional<Member> bank = roster.members().stream()
@@ -66,12 +66,21 @@
                 .filter(entry -> entry.getValue().probeAt() <= now)
                 .map(Map.Entry::getKey)
                 .findFirst();
-        due.ifPresent(name -> silent.compute(name, (key, before) -> Silent.after(before, now)));
+        due.ifPresent(name -> silent.compute(name, (key, before) -> Silent.after(before, before.answers(), now)));
         return due.flatMap(roster::find);
     }
 
-    boolean isSilent(String name) {
-        return silent.containsKey(name);
+    /** Returns whether a member that is not chosen answers all the same. */
+    boolean answers(String name) {
+        return !silent.containsKey(name) || silent.get(name).answers();
+    }
+
+    /** Records an answer of a member that has missed a manifest, so that another one is chosen. */
+    void onOutdated(String bank, long now) {
+        if (bank.equals(asked)) {
+            silent.compute(bank, (name, before) -> Silent.after(before, true, now));
+            unansweredSince = Long.MAX_VALUE;
+        }
     }
 
     /** Returns whether a member is the bank that was chosen last. */
--- a/verbenamast-core/src/main/java/org/verbenamast/core/tenant/CapBank.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/tenant/CapBank.java
@@ -29,6 +29,11 @@
     /** Shortest time for which a token has to be valid to reach the node that waits for it, in nanoseconds. */
     private static final long ARRIVAL_NANOS = Timing.millisToNanos(150);
 
+    /** Time over which the ceded shares show whether the nodes have settled on this bank, in nanoseconds. */
+    private static final long SETTLING_NANOS = Timing.millisToNanos(500);
+    /** Part of all shares that is ceded to the only bank of a fleet of which a few nodes are away. */
+    private static final double SETTLED_SHARE = 0.4;
+
     private static final long MIN_RETRY_MILLIS = 50;
     private static final long MAX_RETRY_MILLIS = 1_000;
     private static final double MILLIS_PER_SECOND = 1_000;
@@ -124,7 +129,8 @@
         boolean enough = available >= allPerSecond * ADVANCE_SECONDS + demand.waiting();
         long offered = enough ? demand.waiting() : Math.max(1, (long) (available * share + random.getAsDouble()));
         long granted = Math.min(demand.waiting(), Math.min(offered, (long) available));
-        long retryMillis = granted < demand.waiting() ? retryMillis(cap.mintPerSecond() * share) : 0;
+        boolean settled = ledger.ceded(now - SETTLING_NANOS, now) > SETTLED_SHARE * SETTLING_NANOS;
+        long retryMillis = settled && granted < demand.waiting() ? retryMillis(cap.mintPerSecond() * share) : 0;
         if (demand.waiting() > 0) {
             tokens.accept(granted(demand, account.stock.takeOldest(granted, validAfter), retryMillis, now));
         }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/tenant/CapController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/tenant/CapController.java
@@ -49,9 +49,10 @@
     private static final long MAX_WAIT_NANOS = Timing.millisToNanos(1_000);
     /** Time after which a refused caller may retry if no bank has told when there is a token, in milliseconds. */
     private static final long RETRY_MILLIS = 300;
-    /** Time in which a bank has to learn of a new manifest, in nanoseconds; what the platform allows for all nodes. */
-    private static final long MANIFEST_LAG_NANOS = Timing.millisToNanos(2_500);
-
+    /** Time after which a bank that has not learnt of a new manifest is replaced, in nanoseconds. */
+    private static final long USUAL_LAG_NANOS = Timing.millisToNanos(1_000);
+    /** Time after which its grants are not accepted, in nanoseconds; what the platform allows for all nodes. */
+    private static final long MAX_LAG_NANOS = Timing.millisToNanos(2_500);
     /** Reports that may be without an answer at once; an answer to an earlier one comes too late. */
     private static final int MAX_UNANSWERED = 8;
 
@@ -227,7 +228,7 @@
         boolean left = !data.cededTo().isEmpty()
                 && now < data.cededUntil()
                 && chosen.filter(member -> member.node().equals(data.cededTo())).isEmpty();
-        return left && !choice.isSilent(data.cededTo()) ? roster.find(data.cededTo()) : Optional.empty();
+        return left && choice.answers(data.cededTo()) ? roster.find(data.cededTo()) : Optional.empty();
     }
 
     private CapReport numbered(List<CapReport.Demand> demands, long now) {
@@ -257,13 +258,17 @@
      * @param effects receives the effects
      */
     public void onGrant(CapGrant grant, long now, Effects effects) {
-        boolean outdated = grant.manifestVersion() < manifestVersion && now - manifestSince > MANIFEST_LAG_NANOS;
         Long askedAt = unanswered.remove(grant.number());
-        if (askedAt == null || outdated) {
-            rejectedGrants += outdated ? 1 : 0;
+        long lagNanos = grant.manifestVersion() < manifestVersion ? now - manifestSince : 0;
+        if (askedAt == null || lagNanos > MAX_LAG_NANOS) {
+            rejectedGrants += askedAt == null ? 0 : 1;
             return;
         }
-        choice.onAnswered(grant.bank());
+        if (lagNanos > USUAL_LAG_NANOS) {
+            choice.onOutdated(grant.bank(), now);
+        } else {
+            choice.onAnswered(grant.bank());
+        }
         if (choice.isChosen(grant.bank())) {
             share.fire(KEY, ShareEvent.ANSWERED, ShareInput.answer(grant), now, effects);
         }
@@ -272,7 +277,8 @@
         }
         awaited.removeIf(account -> !account.isAwaited());
         if (!awaited.isEmpty()) {
-            askForWaiting(now, effects);
+            boolean settling = grant.tenants().stream().anyMatch(CapGrant.Tokens::isUndecided);
+            reportFrom(sentAt + (settling ? MIN_ADVANCE_INTERVAL_NANOS : MIN_ASK_INTERVAL_NANOS), now, effects);
         }
     }
 
@@ -358,42 +364,14 @@
     }
 
     /**
-     * Returns whether the manifest in force has caps.
-     *
-     * @return whether a tenant has a rate
-     */
-    public boolean isActive() {
-        return !caps.isEmpty();
-    }
-
-    /**
-     * Returns what this node holds and has used of the caps.
+     * Returns what this node holds and has used of the caps, for operators.
      *
      * @param now the monotonic time, in nanoseconds
-     * @return the usage by tenant, of those with requests since they got a cap
+     * @return the status
      */
-    public Map<String, CapUsage> usage(long now) {
+    public CapStatus status(long now) {
         Map<String, CapUsage> usage = new TreeMap<>();
         accounts.forEach((tenant, account) -> usage.put(tenant, account.usage(now)));
-        return usage;
-    }
-
-    /**
-     * Returns the number of nodes that have ceded their share to this node.
-     *
-     * @param now the monotonic time, in nanoseconds
-     * @return the number; 0 unless this node is the bank
-     */
-    public long cedingNodes(long now) {
-        return bank.cedingNodes(now);
-    }
-
-    /**
-     * Returns how many grants were not accepted, because they were larger than the cap or under an old manifest.
-     *
-     * @return the number since the start
-     */
-    public long rejectedGrants() {
-        return rejectedGrants;
+        return new CapStatus(!caps.isEmpty(), bank.cedingNodes(now), rejectedGrants, usage);
     }
 }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/tenant/CapGrant.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/tenant/CapGrant.java
@@ -35,6 +35,11 @@
      */
     public record Tokens(String tenant, long amount, long lifeMillis, long retryMillis) {
 
+        /** Returns whether the bank can't tell yet when there will be tokens, because few shares are ceded to it. */
+        boolean isUndecided() {
+            return amount == 0 && retryMillis == 0;
+        }
+
         /** Checks the fields. */
         public Tokens {
             Checks.notBlank("tenant", tenant);
--- a/verbenamast-core/src/test/java/org/verbenamast/core/tenant/CapControllerTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/tenant/CapControllerTest.java
@@ -236,7 +236,7 @@
         }
 
         // then
-        assertThat(node.usage(fleet.now()).get("t").tokens()).isLessThan(200);
+        assertThat(node.status(fleet.now()).usage().get("t").tokens()).isLessThan(200);
     }
 
     @Test
--- a/verbenamast-core/src/test/java/org/verbenamast/core/tenant/CapFleet.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/tenant/CapFleet.java
@@ -121,7 +121,10 @@
     int bank() {
         int bank = 0;
         for (int node = 0; node < nodes.length; node++) {
-            bank = nodes[node].cedingNodes(now) > nodes[bank].cedingNodes(now) ? node : bank;
+            bank = nodes[node].status(now).cedingNodes()
+                            > nodes[bank].status(now).cedingNodes()
+                    ? node
+                    : bank;
         }
         return bank;
     }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/MetricsPage.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/MetricsPage.java
@@ -19,6 +19,7 @@
 import org.verbenamast.core.admission.AdmissionLoad;
 import org.verbenamast.core.keys.KeyStatus;
 import org.verbenamast.core.relay.RelayCore;
+import org.verbenamast.core.tenant.CapStatus;
 import org.verbenamast.core.tenant.CapUsage;
 import org.verbenamast.relay.RelayLoop;
 
@@ -98,23 +99,22 @@
     }
 
     private void addCaps(MetricSnapshots.Builder snapshots, long now) {
-        if (!core.caps().isActive()) {
+        CapStatus status = core.caps().status(now);
+        if (!status.active()) {
             return;
         }
         snapshots.metricSnapshot(gauge(
                 "cap_bank_nodes",
                 "Nodes that have ceded their share of the caps to this node as the bank.",
-                core.caps().cedingNodes(now)));
-        snapshots.metricSnapshot(counter(
-                "cap_grants_rejected",
-                "Grants of a bank that were not accepted.",
-                core.caps().rejectedGrants()));
+                status.cedingNodes()));
+        snapshots.metricSnapshot(
+                counter("cap_grants_rejected", "Grants of a bank that were not accepted.", status.rejectedGrants()));
         GaugeSnapshot.Builder tokens =
                 GaugeSnapshot.builder().name(PREFIX + "cap_tokens").help("Tokens that the node holds, by tenant.");
         CounterSnapshot.Builder requests = CounterSnapshot.builder()
                 .name(PREFIX + "cap_requests")
                 .help("Requests of tenants with a cap, by tenant and by whether they got a token.");
-        core.caps().usage(now).entrySet().stream().limit(MAX_TENANT_SERIES).forEach(entry -> {
+        status.usage().entrySet().stream().limit(MAX_TENANT_SERIES).forEach(entry -> {
             CapUsage usage = entry.getValue();
             tokens.dataPoint(GaugeDataPointSnapshot.builder()
                     .labels(Labels.of("tenant", entry.getKey()))
