--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
@@ -6,7 +6,6 @@
 import java.util.Set;
 
 import org.verbenamast.core.admission.AdmissionController;
-import org.verbenamast.core.admission.AdmissionRules;
 import org.verbenamast.core.backend.BackendStateController;
 import org.verbenamast.core.backend.NoticeController;
 import org.verbenamast.core.backend.ServerNotice;
@@ -36,7 +35,7 @@
  * The decisions of a node: passes events and results between its controllers and reports when the next timer is due.
  * Reads no clock and does no I/O.
  */
-public final class RelayCore implements AdmissionRules {
+public final class RelayCore {
 
     /** Interval between load reports of keys; a small part of the seconds for which keys stay hot. */
     private static final long REPORT_INTERVAL_NANOS = Timing.millisToNanos(500);
@@ -75,9 +74,9 @@
         long hedges = settings.limits().hedgesPerMille();
         this.entry = new EntryController(
                 settings.zone(), roster, replica, crashReports, hedges, settings.random(), listener);
-        this.admission = new AdmissionController(this, listener);
         this.keys = new KeyController(
                 settings.keyed(), roster, replica, entry::isReachable, follow::membersAsOf, follow.eras(), listener);
+        this.admission = new AdmissionController(new GateRules(evacuation, keys, crashReports), listener);
         this.caps = settings.newCapController(roster, listener);
         this.ownRows = new OwnRows(settings, replica, backend, crashReports, listener);
         this.notices = new NoticeController(
@@ -299,26 +298,11 @@
         return isKeyed() ? Math.min(due, Math.min(keys.nextDue(), nextReportAt)) : due;
     }
 
-    @Override
-    public boolean isEvacuated(boolean keyed, long now) {
+    /** Returns whether a request must not reach the server, because its zone is evacuated or may be. */
+    boolean isEvacuated(boolean keyed, long now) {
         return evacuation.refuses(keyed, now);
     }
 
-    @Override
-    public boolean isGranted(int key, long now) {
-        return keys.isGranted(key, now);
-    }
-
-    @Override
-    public boolean isExpected(int key, long now) {
-        return keys.isExpected(key, now);
-    }
-
-    @Override
-    public boolean isSuspect(long id, long now) {
-        return crashReports.isStopped(id, now);
-    }
-
     /**
      * Returns the controller of requests that crash servers.
      *
