--- a/verbenamast-ctl/src/main/java/org/verbenamast/ctl/ChartCommands.java
+++ b/verbenamast-ctl/src/main/java/org/verbenamast/ctl/ChartCommands.java
@@ -36,6 +36,7 @@
             "slice",
             "stop",
             "store-call",
+            "store-era",
             "suspect",
             "takeover",
             "tenure",
