--- a/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/relay/RelayCore.java
@@ -6,7 +6,6 @@
 import java.util.Set;
 
 import org.verbenamast.core.admission.AdmissionController;
-import org.verbenamast.core.admission.AdmissionRules;
 import org.verbenamast.core.backend.BackendStateController;
 import org.verbenamast.core.backend.NoticeController;
 import org.verbenamast.core.backend.ServerNotice;
@@ -28,6 +27,7 @@
 import org.verbenamast.core.rows.StoreResult;
 import org.verbenamast.core.rows.StoreVersion;
 import org.verbenamast.core.rows.StoredRow;
+import org.verbenamast.core.tenant.CapController;
 import org.verbenamast.core.watch.FollowController;
 import org.verbenamast.core.watch.FollowedTable;
 
@@ -35,7 +35,7 @@
  * The decisions of a node: passes events and results between its controllers and reports when the next timer is due.
  * Reads no clock and does no I/O.
  */
-public final class RelayCore implements AdmissionRules {
+public final class RelayCore {
 
     /** Interval between load reports of keys; a small part of the seconds for which keys stay hot. */
     private static final long REPORT_INTERVAL_NANOS = Timing.millisToNanos(500);
@@ -51,6 +51,7 @@
     private final OwnRows ownRows;
     private final NoticeController notices;
     private final FollowController follow;
+    private final CapController caps;
     private final Evacuation evacuation;
     private final ActiveManifest manifest = new ActiveManifest();
     private long nextReportAt;
@@ -73,9 +74,10 @@
         long hedges = settings.limits().hedgesPerMille();
         this.entry = new EntryController(
                 settings.zone(), roster, replica, crashReports, hedges, settings.random(), listener);
-        this.admission = new AdmissionController(this, listener);
         this.keys = new KeyController(
                 settings.keyed(), roster, replica, entry::isReachable, follow::membersAsOf, follow.eras(), listener);
+        this.admission = new AdmissionController(new GateRules(evacuation, keys, crashReports), listener);
+        this.caps = settings.newCapController(roster, listener);
         this.ownRows = new OwnRows(settings, replica, backend, crashReports, listener);
         this.notices = new NoticeController(
                 new ServerNotices(settings, backend, crashReports, keys, ownRows, this::isKeyed), listener);
@@ -132,6 +134,7 @@
         if (!manifest.accept(next)) {
             return false;
         }
+        caps.onManifest(next, now, effects);
         updateAdmission(now, effects);
         return true;
     }
@@ -271,6 +274,7 @@
         reviewNotices(now, effects);
         ownRows.advance(now, effects);
         reportOwners(now, effects);
+        caps.advance(now, effects);
         entry.advance(now, effects);
         admission.advance(now, effects);
         if (isKeyed()) {
@@ -290,30 +294,15 @@
     public long nextDue() {
         long due = Math.min(Math.min(backend.nextDue(), ownRows.nextDue()), follow.nextDue());
         due = Math.min(due, notices.nextDue());
-        due = Math.min(due, Math.min(entry.nextDue(), admission.nextDue()));
+        due = Math.min(Math.min(due, caps.nextDue()), Math.min(entry.nextDue(), admission.nextDue()));
         return isKeyed() ? Math.min(due, Math.min(keys.nextDue(), nextReportAt)) : due;
     }
 
-    @Override
-    public boolean isEvacuated(boolean keyed, long now) {
+    /** Returns whether a request must not reach the server, because its zone is evacuated or may be. */
+    boolean isEvacuated(boolean keyed, long now) {
         return evacuation.refuses(keyed, now);
     }
 
-    @Override
-    public boolean isGranted(int key, long now) {
-        return keys.isGranted(key, now);
-    }
-
-    @Override
-    public boolean isExpected(int key, long now) {
-        return keys.isExpected(key, now);
-    }
-
-    @Override
-    public boolean isSuspect(long id, long now) {
-        return crashReports.isStopped(id, now);
-    }
-
     /**
      * Returns the controller of requests that crash servers.
      *
@@ -323,6 +312,15 @@
         return crashReports;
     }
 
+    /**
+     * Returns the controller of the tenants' caps.
+     *
+     * @return the controller
+     */
+    public CapController caps() {
+        return caps;
+    }
+
     /**
      * Returns the manifest in force.
      *
--- a/verbenamast-ctl/src/main/java/org/verbenamast/ctl/ChartCommands.java
+++ b/verbenamast-ctl/src/main/java/org/verbenamast/ctl/ChartCommands.java
@@ -13,6 +13,7 @@
     static final List<String> NAMES = List.of(
             "backend",
             "bootstrap",
+            "cap-share",
             "change",
             "command",
             "entry",
@@ -35,6 +36,7 @@
             "slice",
             "stop",
             "store-call",
+            "store-era",
             "suspect",
             "takeover",
             "tenure",
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
@@ -16,6 +16,8 @@
 import org.verbenamast.core.entry.EntryEffect;
 import org.verbenamast.core.keys.KeyEffect;
 import org.verbenamast.core.keys.KeyLeaseTimings;
+import org.verbenamast.core.manifest.Manifest;
+import org.verbenamast.core.manifest.Tenant;
 import org.verbenamast.core.model.Zone;
 import org.verbenamast.core.node.Timing;
 import org.verbenamast.core.relay.RelayCore;
@@ -29,6 +31,7 @@
 import org.verbenamast.core.rows.StoredRow;
 import org.verbenamast.core.stop.StopController;
 import org.verbenamast.core.stop.StopEffect;
+import org.verbenamast.core.tenant.CapEffect;
 import org.verbenamast.core.watch.FollowEffect;
 import org.verbenamast.core.watch.FollowResult;
 import org.verbenamast.core.watch.FollowedTable;
@@ -222,6 +225,9 @@
             front.run(answer);
         } else if (effect instanceof KeyEffect.SendLoadReport report) {
             peerSender.send(report);
+        } else if (effect instanceof CapEffect cap) {
+            peerSender.send(cap);
+            callers.run(cap);
         } else if (effect instanceof KeyEffect.Granted granted) {
             BeliefLog.granted(granted);
         } else if (effect instanceof KeyEffect.Withdrawn withdrawn) {
@@ -268,10 +274,13 @@
     public void onOperatorRows(FollowResult result, List<OperatorRow> rows) {
         loop.run((now, effects) -> {
             long manifestBefore = core.manifest().version();
+            List<Tenant> tenantsBefore =
+                    answers.operators().manifest().map(Manifest::tenants).orElse(List.of());
             Set<Zone> zonesBefore = answers.operators().evacuatedZones();
             answers.onOperatorRows(result, rows, now, effects);
             if (core.manifest().version() != manifestBefore) {
                 answers.operators().manifest().ifPresent(BeliefLog::manifestInForce);
+                answers.operators().manifest().ifPresent(next -> BeliefLog.capsChanged(tenantsBefore, next));
                 callers.onManifestChanged();
             }
             if (!answers.operators().evacuatedZones().equals(zonesBefore)) {
