A server's answer whose status is none is a broken answer on both hops

Cause: the codec reads any number as a status. Answers with 600, 700 and 999, with four digits or a sign reached callers; 000, 99 and one or two digits were taken for informational ones, so that the call waited for its deadline.

Change: ResponseDecoder refuses a status line without a number of three digits from 100 to 599; the node that a caller uses takes no other final status from another node.

--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/RelayAttempt.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/RelayAttempt.java
@@ -55,6 +55,9 @@
         Promise<Void> room();
     }
 
+    private static final int FIRST_FINAL_STATUS = 200;
+    private static final int LAST_STATUS = 599;
+
     private final PeerPool pool;
     private final Address address;
     private final boolean reportsReceipt;
@@ -141,9 +144,7 @@
                         refused.getRetryAfterMillis(),
                         RelayFrames.load(refused.getLoad()));
             }
-            case ANSWER ->
-                observer.onAnswerHead(
-                        frame.getAnswer(), RelayFrames.load(frame.getAnswer().getLoad()));
+            case ANSWER -> onAnswerHead(frame.getAnswer());
             case DATA -> observer.onAnswerBody(frame.getData().toByteArray());
             case END -> {
                 if (reportsReceipt) {
@@ -161,6 +162,17 @@
         }
     }
 
+    /** Passes on the head of an answer, unless its status is none of a final answer. */
+    private void onAnswerHead(RelayAnswer answer) {
+        if (answer.getStatus() < FIRST_FINAL_STATUS || answer.getStatus() > LAST_STATUS) {
+            ended = true;
+            link.close();
+            observer.onBroken(false);
+            return;
+        }
+        observer.onAnswerHead(answer, RelayFrames.load(answer.getLoad()));
+    }
+
     private void reportStoreVersions(RelayFrame frame) {
         if (frame.hasRefused()) {
             observer.onStoreVersions(
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/net/ResponseDecoder.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/net/ResponseDecoder.java
@@ -19,6 +19,7 @@
  */
 final class ResponseDecoder extends HttpResponseDecoder {
 
+    private static final Pattern STATUS = Pattern.compile("[1-5][0-9][0-9]");
     /** A status line within a head: the head began with a fragment of another response. */
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] [1-5][0-9][0-9]");
 
@@ -52,6 +53,15 @@
         }
     }
 
+    /** Refuses a status that is none, which the codec would read as a number, as a response that can't be decoded. */
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) {
+        if (!STATUS.matcher(initialLine[1]).matches()) {
+            throw new IllegalArgumentException("status should be a number from 100 to 599: " + initialLine[1]);
+        }
+        return super.createMessage(initialLine);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return HttpMethod.HEAD.equals(method) || super.isContentAlwaysEmpty(message);
