RelayStopTest waits until its server is frozen

Cause: it failed once with a 200: the program that sends the signal was still starting, and the record shows that the server ran the request before it was frozen. Nothing of the node was at fault.

Change: the test waits for the end of that program and checks its exit status; its checks of the answers stay.

--- a/verbenamast-it/src/test/java/org/verbenamast/it/RelayStopTest.java
+++ b/verbenamast-it/src/test/java/org/verbenamast/it/RelayStopTest.java
@@ -55,7 +55,7 @@
             fleet.relay(0).destroyForcibly().waitFor();
             fleet.startRelay(0, GRACE_SECONDS);
             awaitServed(fleet);
-            Processes.freeze(fleet.server(SERVER_HOST));
+            assertThat(Processes.freeze(fleet.server(SERVER_HOST)).waitFor()).isZero();
 
             // when
             List<CompletableFuture<Integer>> answers = new ArrayList<>();
