The load tool closes its connections before its loop ends

Cause: the loop was ended while its sockets were open, so that it logged "Selector is still open" with lines of up to 36 KB around the demo's own result.

Change: the client is stopped after the last answer, and the loop ends by itself; the time limit after the last request stays.

Result: LoadRunnerTest sees its connection end (before: no end within 2 s, one run each).

--- a/verbenamast-load/src/main/java/org/verbenamast/load/LoadRunner.java
+++ b/verbenamast-load/src/main/java/org/verbenamast/load/LoadRunner.java
@@ -113,7 +113,8 @@
 
     private void finishIfDone() {
         if (ended == plan.requests()) {
-            eventloop.post(eventloop::breakEventloop);
+            // The loop ends by itself once the connections are closed.
+            eventloop.post(http::stop);
         }
     }
 }
