--- a/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Programs.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Programs.java
@@ -8,7 +8,7 @@
 /** Starts the programs of the project as processes. */
 final class Programs {
 
-    private static final List<String> NODE_FLAGS = List.of(
+    static final List<String> NODE_FLAGS = List.of(
             "-Xmx40m",
             "-Xms16m",
             "-Xss256k",
@@ -39,8 +39,8 @@
         return start(name, "node", NODE_FLAGS, List.of("--settings", settings.toString()));
     }
 
-    Process relay(String name, Path settings) throws IOException {
-        return start(name, "relay", NODE_FLAGS, List.of("--settings", settings.toString()));
+    Process relay(String name, Path settings, List<String> flags) throws IOException {
+        return start(name, "relay", flags, List.of("--settings", settings.toString()));
     }
 
     Process standin(String name, List<String> args) throws IOException {
--- a/verbenamast-it/src/main/java/org/verbenamast/it/deploy/RelayFleet.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/deploy/RelayFleet.java
@@ -41,6 +41,8 @@
     private final List<Process> servers = new ArrayList<>();
     private final List<Process> others = new ArrayList<>();
     private final Wiring wiring;
+    private List<String> flags = Programs.NODE_FLAGS;
+    private String limits = "{}";
 
     private RelayFleet(Path root, Path folder, PortBlock ports, int hosts, Wiring wiring) {
         this.folder = Objects.requireNonNull(folder, "folder");
@@ -148,7 +150,7 @@
         String settings = """
                 {"node": "node-%d", "zone": "a", "service": "%s", "server": "%s", "callers": "%s", "ready": "%s",
                  "heartbeats": "%s", "peers": "%s", "metrics": "%s", "store": "%s",
-                 "graceSeconds": %d}
+                 "graceSeconds": %d, "clients": %s}
                 """.formatted(
                         host,
                         service(host),
@@ -159,9 +161,21 @@
                         address(host, 4),
                         address(host, 5),
                         wiring == Wiring.PROXIED ? address(host, STORE_ROUTE) : store(),
-                        graceSeconds);
+                        graceSeconds,
+                        limits);
         Path file = Files.writeString(folder.resolve("node-" + host + ".json"), settings);
-        relays.set(host, programs.relay("node-" + host, file));
+        relays.set(host, programs.relay("node-" + host, file, flags));
+    }
+
+    /**
+     * Sets how relays are started from now on.
+     *
+     * @param jvmFlags the options of the virtual machine
+     * @param clientLimits the limits on clients in the settings, in JSON
+     */
+    public void startRelaysWith(List<String> jvmFlags, String clientLimits) {
+        flags = List.copyOf(jvmFlags);
+        limits = Objects.requireNonNull(clientLimits, "clientLimits");
     }
 
     /**
@@ -283,6 +297,26 @@
         return address(host, 3);
     }
 
+    /**
+     * Returns where the platform asks whether the node of a host is ready.
+     *
+     * @param host the host
+     * @return the address
+     */
+    public String ready(int host) {
+        return address(host, 2);
+    }
+
+    /**
+     * Returns where the node of a host takes links of other nodes.
+     *
+     * @param host the host
+     * @return the address
+     */
+    public String peers(int host) {
+        return address(host, 4);
+    }
+
     /**
      * Returns where the node of a host shows its metrics.
      *
