Clients can't make a node hold more than its budget

Cause: heads in progress were kept as decoded lines, trailers likewise, and nothing bounded what all clients together made the process hold: 150 clients with header lines without end ended it at a heap of 40 MB.

RequestInput keeps a head as bytes until it is complete and weighs its lines before they are decoded. Heads, bodies and answers without progress end their connection; the other HTTP addresses take 64 connections each. A body that comes before admission has decided is read up to 128 KiB. Settings clients.*, counters by reason.

--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/PlatformFront.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/PlatformFront.java
@@ -1,6 +1,10 @@
 package org.verbenamast.relay;
 
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.channels.SocketChannel;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
@@ -13,6 +17,7 @@
 import io.activej.http.HttpRequest;
 import io.activej.http.HttpResponse;
 import io.activej.http.HttpServer;
+import io.activej.net.AbstractReactiveServer;
 import io.activej.promise.Promise;
 import io.activej.promise.SettablePromise;
 import org.slf4j.Logger;
@@ -32,6 +37,11 @@
     private static final Logger LOG = LoggerFactory.getLogger(PlatformFront.class);
 
     private static final int MAX_BODY_BYTES = 256 * 1024;
+    /** Most connections to each endpoint; the platform and one server use a few of them. */
+    private static final int MAX_CONNECTIONS = 64;
+    /** Time for a request to arrive or an answer to be read on, as long as for the head of a caller's request. */
+    private static final Duration READ_WRITE_TIMEOUT = Duration.ofSeconds(3);
+
     private static final int UNAVAILABLE = 503;
     private static final int NOT_FOUND = 404;
     private static final int BAD_REQUEST = 400;
@@ -63,9 +73,15 @@
     }
 
     private static HttpServer server(Eventloop eventloop, Address address, AsyncServlet servlet) {
-        return HttpServer.builder(eventloop, servlet)
+        ConnectionLimit limit = new ConnectionLimit();
+        HttpServer server = HttpServer.builder(eventloop, servlet)
                 .withListenAddress(Sockets.toSocketAddress(address))
+                .withReadWriteTimeout(READ_WRITE_TIMEOUT)
+                .withMaxBodySize(MAX_BODY_BYTES)
+                .withAcceptFilter(limit)
                 .build();
+        limit.server = server;
+        return server;
     }
 
     void listen() throws IOException {
@@ -138,6 +154,18 @@
         }
     }
 
+    /** Rejects connections to a server that has as many as it may. */
+    private static final class ConnectionLimit implements AbstractReactiveServer.AcceptFilter {
+
+        private HttpServer server;
+
+        @Override
+        public boolean filterAccept(
+                SocketChannel channel, InetSocketAddress local, InetAddress remote, boolean encrypted) {
+            return server.getConnectionsCount() >= MAX_CONNECTIONS;
+        }
+    }
+
     private record UnansweredNotice(ServerNotice notice, SettablePromise<HttpResponse> answer) {}
 
     @Override
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayProcess.java
@@ -36,6 +36,7 @@
 import org.verbenamast.relay.backend.BackendPool;
 import org.verbenamast.relay.caller.CallerServer;
 import org.verbenamast.relay.caller.CallerSettings;
+import org.verbenamast.relay.net.ClientRegister;
 import org.verbenamast.relay.peer.GateServer;
 import org.verbenamast.relay.peer.PeerNotifier;
 import org.verbenamast.relay.peer.PeerPool;
@@ -72,6 +73,7 @@
     private final StoreClient store;
     private final PeerPool peers;
     private final BackendPool backend;
+    private final ClientRegister clients;
     private final CallerServer callers;
     private final GateServer gate;
     private final PlatformFront front;
@@ -103,12 +105,17 @@
         this.store = new StoreClient(eventloop, settings.store(), this);
         this.peers = new PeerPool(eventloop);
         this.backend = new BackendPool(eventloop, settings.server());
+        this.clients = new ClientRegister(settings.limits()
+                .clients()
+                .resolve(
+                        Runtime.getRuntime().maxMemory(),
+                        settings.limits().host().descriptors()));
         CallerSettings callerSettings = new CallerSettings(
                 settings.callers(), settings.service(), settings.limits().clients());
-        this.callers = new CallerServer(eventloop, callerSettings, core, loop, peers, counts);
-        this.gate = new GateServer(eventloop, settings.peers(), core, loop, backend, counts);
+        this.callers = new CallerServer(eventloop, callerSettings, clients, core, loop, peers, counts);
+        this.gate = new GateServer(eventloop, settings.peers(), clients, core, loop, backend, counts);
         this.front = new PlatformFront(
-                eventloop, settings, core, loop, new MetricsPage(core, counts), () -> !stop.isStopping());
+                eventloop, settings, core, loop, new MetricsPage(core, counts, clients), () -> !stop.isStopping());
         this.peerSender = new PeerNotifier(peers);
     }
 
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/backend/BackendCall.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/backend/BackendCall.java
@@ -84,6 +84,8 @@
     private static final int MISDIRECTED_STATUS = 421;
     /** Most bytes of refusals and of answers to other requests that a call reads. */
     private static final int MAX_DISCARDED_BYTES = 256 * 1024;
+    /** Most bytes of a body that are read before the request may be sent; a sender keeps about half of it. */
+    private static final int MAX_PENDING_BYTES = 128 * 1024;
     /** Bytes that a head counts for which is not passed on. */
     private static final int DISCARDED_HEAD_BYTES = 1024;
 
@@ -104,6 +106,7 @@
     private boolean lastOnLink;
     private int answerStatus;
     private int discardedBytes;
+    private int pendingBytes;
 
     /**
      * Creates a call; {@link #begin} sends it.
@@ -137,6 +140,7 @@
     /** Lets the rest of the body arrive; what has arrived was sent or is not needed any more. */
     private void endConnecting() {
         pendingBody.clear();
+        pendingBytes = 0;
         connectingEnded.trySet(null);
     }
 
@@ -188,11 +192,21 @@
         }
         if (link == null) {
             pendingBody.add(bytes);
+            pendingBytes += bytes.length;
         } else {
             link.body(bytes);
         }
     }
 
+    /**
+     * Returns what is held of the body until the request may be sent.
+     *
+     * @return the bytes
+     */
+    public int heldBytes() {
+        return pendingBytes;
+    }
+
     /** Marks the request's body as complete. */
     public void endBody() {
         bodyEnded = true;
@@ -207,7 +221,8 @@
     }
 
     /**
-     * Applies backpressure to the request's body. While a connection is being opened, no more of the body is accepted.
+     * Applies backpressure to the request's body. While a connection is being opened, no more of the body is accepted;
+     * before that, no more than a sender keeps of it.
      *
      * @return a promise that completes once little of the body is waiting to be written
      */
@@ -216,7 +231,7 @@
             return Promise.complete();
         }
         if (link == null) {
-            return connecting ? connectingEnded : Promise.complete();
+            return connecting || pendingBytes > MAX_PENDING_BYTES ? connectingEnded : Promise.complete();
         }
         return link.whenWritable();
     }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerConnection.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerConnection.java
@@ -21,11 +21,16 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
+import org.verbenamast.core.client.ClientRefusal;
 import org.verbenamast.core.client.pipeline.Pipeline;
 import org.verbenamast.core.client.pipeline.PipelineInput;
+import org.verbenamast.core.node.Timing;
 import org.verbenamast.relay.RelayLoop;
+import org.verbenamast.relay.net.ClientRegister;
 import org.verbenamast.relay.net.HttpCodec;
 import org.verbenamast.relay.net.RecurringSignal;
+import org.verbenamast.relay.net.RefusedHeadException;
+import org.verbenamast.relay.net.RequestInput;
 import org.verbenamast.relay.net.SocketReader;
 import org.verbenamast.relay.net.SocketWriter;
 
@@ -33,7 +38,7 @@
  * A caller's HTTP connection. Carries out what the {@link Pipeline} decides: which requests are begun while earlier
  * ones are unanswered, in which order answers are written, and when the connection ends.
  */
-final class CallerConnection implements SocketReader.Handler, AutoCloseable {
+final class CallerConnection implements SocketReader.Handler, ClientRegister.Client, AutoCloseable {
 
     /** Written directly: the codec would count it as the response to the request. */
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
@@ -43,15 +48,19 @@
     private final CallerServer server;
     private final ITcpSocket socket;
     private final HttpCodec codec;
+    private final RequestInput input;
     private final SocketWriter outflow;
     private final SocketReader inflow;
     private final Pipeline pipeline;
     private final Deque<CallerReply> replies = new ArrayDeque<>(1);
     private final Deque<HttpObject> parts = new ArrayDeque<>(2);
-    private final Deque<byte[]> backlog = new ArrayDeque<>(0);
     private final RecurringSignal backlogRead = new RecurringSignal();
     private CallerReply receiving;
-    private int backlogBytes;
+    private boolean paused;
+    private long receivedAt = RelayLoop.now();
+    private long sentAt = receivedAt;
+    private long headBegunAt = receivedAt;
+    private long lastWrittenBytes;
     private boolean proceeding;
     private boolean ended;
     private long idleSince = RelayLoop.now();
@@ -61,8 +70,11 @@
         this.socket = Objects.requireNonNull(socket, "socket");
         this.pipeline = Objects.requireNonNull(pipeline, "pipeline");
         this.codec = HttpCodec.server(maxHeadBytes);
+        this.input =
+                new RequestInput(codec, maxHeadBytes, weight -> server.clients().permits(this, weight));
         this.outflow = new SocketWriter(Reactor.getCurrentReactor(), socket, () -> onEnd(false));
         this.inflow = new SocketReader(socket, this);
+        server.clients().open(this, receivedAt);
         inflow.start();
     }
 
@@ -76,24 +88,61 @@
         pipeline.advance(now);
         if (pipeline.ended()) {
             onEnd(true);
+            return;
+        }
+        onHeldChanged(false);
+        if (makesNoProgress(now)) {
+            server.clients().count(ClientRefusal.NO_PROGRESS);
+            onEnd(false);
         }
     }
 
+    /** Returns whether the caller neither completes a head, sends a body on nor reads its answers in time. */
+    private boolean makesNoProgress(long now) {
+        if (outflow.pendingBytes() == 0 || outflow.writtenBytes() != lastWrittenBytes) {
+            sentAt = now;
+        }
+        lastWrittenBytes = outflow.writtenBytes();
+        long idleNanos = Timing.millisToNanos(server.limits().idleTimeoutMillis());
+        if (!input.isInHead()) {
+            headBegunAt = now;
+        }
+        return now - headBegunAt > Timing.millisToNanos(server.limits().headerTimeoutMillis())
+                || receiving != null && !paused && now - receivedAt > idleNanos
+                || now - sentAt > idleNanos;
+    }
+
     @Override
     public Promise<Void> onBytes(byte[] bytes) {
         if (pipeline.lastKnown() && receiving == null) {
             return Promise.complete();
         }
-        backlog.add(bytes);
-        backlogBytes += bytes.length;
+        input.add(bytes);
         proceed();
+        onHeldChanged(true);
+        Promise<Void> room = inputRoom();
+        paused = !room.isComplete();
+        return room.whenResult(() -> {
+            paused = false;
+            receivedAt = RelayLoop.now();
+        });
+    }
+
+    private Promise<Void> inputRoom() {
         if (!parts.isEmpty()) {
-            return backlogBytes < MAX_BACKLOG_BYTES ? Promise.complete() : backlogRead.next();
+            return input.heldBytes() < MAX_BACKLOG_BYTES ? Promise.complete() : backlogRead.next();
         }
         CallerExchange reading = receiving == null ? null : receiving.exchange();
         return reading == null ? Promise.complete() : reading.bodyRoom();
     }
 
+    /** Reports what the connection holds to the budget of all clients. */
+    void onHeldChanged(boolean progressed) {
+        if (!ended) {
+            server.clients().record(this, heldBytes(), progressed, RelayLoop.now());
+        }
+    }
+
     /** Handles what has arrived and writes the answers that are due, in a loop: answers may be complete at once. */
     private void proceed() {
         if (proceeding || ended) {
@@ -121,17 +170,11 @@
     }
 
     private boolean decodeBacklog() {
-        byte[] bytes = backlog.poll();
-        if (bytes == null) {
-            backlogRead.fire();
-            return false;
-        }
-        backlogBytes -= bytes.length;
-        codec.received(bytes);
-        for (HttpObject part = codec.next(); part != null; part = codec.next()) {
-            parts.add(part);
+        if (input.decode(parts)) {
+            return true;
         }
-        return true;
+        backlogRead.fire();
+        return false;
     }
 
     private boolean handleNextPart() {
@@ -156,13 +199,13 @@
         boolean malformed = request.decoderResult().isFailure();
         boolean last = malformed || !HttpUtil.isKeepAlive(request);
         boolean persistent = malformed || request.protocolVersion().equals(HttpVersion.HTTP_1_1);
-        PipelineInput input = new PipelineInput(
+        PipelineInput offered = new PipelineInput(
                 persistent, last, () -> malformed || server.isRepeatable(request), heldBytes(), server.stopping());
-        if (!pipeline.begin(input, RelayLoop.now())) {
+        if (!pipeline.begin(offered, RelayLoop.now())) {
             return false;
         }
         parts.poll();
-        CallerReply reply = new CallerReply(this, request);
+        CallerReply reply = new CallerReply(this, request, malformed ? 0 : input.headWeight());
         replies.add(reply);
         receiving = reply;
         if (malformed) {
@@ -176,7 +219,7 @@
 
     /** Returns what is held for the connection's requests and their answers, in bytes. */
     long heldBytes() {
-        long bytes = outflow.pendingBytes();
+        long bytes = outflow.pendingBytes() + input.heldBytes() + (parts.isEmpty() ? 0 : input.headWeight());
         for (CallerReply reply : replies) {
             bytes += reply.heldBytes();
         }
@@ -186,8 +229,7 @@
     /** Drops what follows the last request: it counts as not read. */
     private void skipRest() {
         parts.clear();
-        backlog.clear();
-        backlogBytes = 0;
+        input.drop();
         backlogRead.fire();
     }
 
@@ -216,14 +258,25 @@
     }
 
     private void reject(HttpObject part) {
-        Throwable cause = part.decoderResult().cause();
-        boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
         CallerReply reply = receiving;
         if (reply == null) {
             return;
         }
         endBody();
-        reply.reject(tooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST);
+        reply.reject(statusOf(part.decoderResult().cause()));
+    }
+
+    private HttpResponseStatus statusOf(Throwable cause) {
+        if (cause instanceof RefusedHeadException refused) {
+            server.clients().count(refused.reason());
+            return switch (refused.reason()) {
+                case HELD_BYTES -> HttpResponseStatus.SERVICE_UNAVAILABLE;
+                case HEAD_TOO_LONG -> HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
+                default -> HttpResponseStatus.BAD_REQUEST;
+            };
+        }
+        boolean tooLong = cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+        return tooLong ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE : HttpResponseStatus.BAD_REQUEST;
     }
 
     /** Returns whether an answer is due, that is, all earlier requests are answered. */
@@ -303,12 +356,20 @@
         pipeline.onLost(RelayLoop.now());
         close();
         skipRest();
+        server.clients().close(this);
         List<CallerReply> lost = List.copyOf(replies);
         replies.clear();
         lost.forEach(CallerReply::onCallerGone);
         server.onConnectionClosed(this);
     }
 
+    @Override
+    public void evict() {
+        // The client may be the one whose bytes are being handled.
+        inflow.stop();
+        Reactor.getCurrentReactor().post(() -> onEnd(false));
+    }
+
     @Override
     public void close() {
         inflow.stop();
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerReply.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerReply.java
@@ -34,7 +34,11 @@
     /** Bytes that the head of a held answer counts for. */
     private static final int HEAD_BYTES = 1024;
 
+    /** Retry delay while clients hold too much, in milliseconds; slow heads and bodies end within seconds. */
+    private static final long BUSY_RETRY_MILLIS = 1_000;
+
     private final CallerConnection connection;
+    private final int requestBytes;
     private final boolean headOnly;
     private final boolean chunkable;
     private final String attemptId;
@@ -49,8 +53,9 @@
     private boolean sent;
     private int heldBytes;
 
-    CallerReply(CallerConnection connection, HttpRequest request) {
+    CallerReply(CallerConnection connection, HttpRequest request, int requestBytes) {
         this.connection = Objects.requireNonNull(connection, "connection");
+        this.requestBytes = requestBytes;
         this.headOnly = HttpMethod.HEAD.equals(request.method());
         this.chunkable = request.protocolVersion().equals(HttpVersion.HTTP_1_1);
         this.attemptId = request.headers().get(RequestFields.ATTEMPT_ID, "");
@@ -78,7 +83,7 @@
 
     /** Returns what is held for the request and its answer, in bytes. */
     int heldBytes() {
-        return heldBytes + (exchange == null ? 0 : exchange.heldBytes());
+        return heldBytes + (exchange == null ? 0 : requestBytes + exchange.heldBytes());
     }
 
     /** Sends an answer of this node, without a body; {@code retryAfter} is the header's value, or empty for none. */
@@ -119,7 +124,11 @@
         if (exchange != null) {
             exchange.onCallerGone();
         }
-        answer(status, "");
+        answer(
+                status,
+                status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
+                        ? RequestFields.retryAfter(BUSY_RETRY_MILLIS)
+                        : "");
     }
 
     /** Sends the head of the server's answer; {@code wholeLength} is the length of its body in bytes, or -1. */
@@ -163,9 +172,15 @@
         } else {
             held.add(part);
             heldBytes += bytes;
+            onHeldChanged();
         }
     }
 
+    /** Reports that more is held for the request. */
+    void onHeldChanged() {
+        connection.onHeldChanged(false);
+    }
+
     /** Handles that all earlier requests are answered. */
     void onTurn() {
         connection.sendContinueIfAwaited(this);
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerServer.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/CallerServer.java
@@ -38,6 +38,7 @@
 import org.verbenamast.core.tenant.CallerIdentity;
 import org.verbenamast.platform.RequestFields;
 import org.verbenamast.relay.RelayLoop;
+import org.verbenamast.relay.net.ClientRegister;
 import org.verbenamast.relay.net.EndToEndFields;
 import org.verbenamast.relay.net.Sockets;
 import org.verbenamast.relay.peer.PeerPool;
@@ -60,6 +61,7 @@
 
     private final SimpleServer server;
     private final CallerSettings settings;
+    private final ClientRegister clients;
     private final RelayCore core;
     private final RelayLoop loop;
     private final PeerPool pool;
@@ -80,6 +82,7 @@
      *
      * @param eventloop the only event loop of the process
      * @param settings the address to listen on, the service whose requests arrive there, and the limits on its clients
+     * @param clients the connections of all clients of the process
      * @param core makes the decisions about requests
      * @param loop runs the decisions on the event loop and executes their effects
      * @param pool the connections to other nodes
@@ -88,11 +91,13 @@
     public CallerServer(
             Eventloop eventloop,
             CallerSettings settings,
+            ClientRegister clients,
             RelayCore core,
             RelayLoop loop,
             PeerPool pool,
             RequestCounts counts) {
         this.settings = Objects.requireNonNull(settings, "settings");
+        this.clients = Objects.requireNonNull(clients, "clients");
         this.core = Objects.requireNonNull(core, "core");
         this.loop = Objects.requireNonNull(loop, "loop");
         this.pool = Objects.requireNonNull(pool, "pool");
@@ -110,7 +115,12 @@
         return new Pipeline(chart, settings.limits().pipelinedRequests(), RelayLoop.now());
     }
 
-    private RequestLimits limits() {
+    /** Returns the budget for what clients make the process hold. */
+    ClientRegister clients() {
+        return clients;
+    }
+
+    RequestLimits limits() {
         return core.manifest().limits();
     }
 
@@ -151,11 +161,6 @@
         return exchanges.isEmpty();
     }
 
-    /** Returns what is held for all callers, in bytes: bodies and answers in progress. */
-    long heldBytes() {
-        return connections.stream().mapToLong(CallerConnection::heldBytes).sum();
-    }
-
     /** Closes connections that were idle for longer than the idle timeout of the manifest, or whose end is due. */
     public void closeIdle() {
         long now = RelayLoop.now();
@@ -163,8 +168,7 @@
         for (CallerConnection connection : List.copyOf(connections)) {
             connection.advance(now);
             if (connection.idleSince() < before) {
-                connection.close();
-                connections.remove(connection);
+                connection.onEnd(true);
             }
         }
     }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/ExchangeAttempt.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/caller/ExchangeAttempt.java
@@ -135,6 +135,7 @@
             return;
         }
         answerBuffer.writeBytes(bytes);
+        exchange.reply().onHeldChanged();
         if (answerBuffer.size() >= MAX_BUFFERED_ANSWER_BYTES) {
             reportAnswer();
         }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/net/SocketWriter.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/net/SocketWriter.java
@@ -23,6 +23,7 @@
     private final Runnable onFailure;
     private final Deque<byte[]> pending = new ArrayDeque<>();
     private int pendingBytes;
+    private long writtenBytes;
     private boolean writing;
     private boolean closing;
     private final RecurringSignal writable = new RecurringSignal();
@@ -95,6 +96,15 @@
         return writable.next();
     }
 
+    /**
+     * Returns how much was written, which shows whether the peer reads.
+     *
+     * @return the bytes that the socket has taken
+     */
+    public long writtenBytes() {
+        return writtenBytes;
+    }
+
     private void writePending() {
         if (socket.isClosed()) {
             writing = false;
@@ -112,6 +122,7 @@
         socket.write(ByteBuf.wrapForReading(joined))
                 .whenResult(() -> {
                     pendingBytes -= joined.length;
+                    writtenBytes += joined.length;
                     signalWritable();
                     writePending();
                 })
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/AdmissionExchange.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/AdmissionExchange.java
@@ -15,6 +15,7 @@
 import org.verbenamast.relay.RelayLoop;
 import org.verbenamast.relay.backend.BackendCall;
 import org.verbenamast.relay.backend.BackendPool;
+import org.verbenamast.relay.net.ClientRegister;
 import org.verbenamast.relay.net.EndToEndFields;
 import org.verbenamast.relay.telemetry.LogField;
 import org.verbenamast.relay.telemetry.RequestEnd;
@@ -32,7 +33,11 @@
 
     private static final int FIRST_SERVER_ERROR_STATUS = 500;
 
+    /** Bytes of the objects that a field becomes, here and in the request to the server. */
+    private static final int FIELD_WEIGHT = 400;
+
     private final FrameLink link;
+    private final ClientRegister.Client client;
     private final AdmissionRequest request;
     private final RelayOpen open;
     private final BackendCall call;
@@ -41,7 +46,14 @@
     private boolean ended;
     private ServerOutcome outcome = ServerOutcome.ANSWERED;
 
-    AdmissionExchange(FrameLink link, AdmissionRequest request, RelayOpen open, BackendPool pool, GateServer server) {
+    AdmissionExchange(
+            FrameLink link,
+            ClientRegister.Client client,
+            AdmissionRequest request,
+            RelayOpen open,
+            BackendPool pool,
+            GateServer server) {
+        this.client = Objects.requireNonNull(client, "client");
         this.link = Objects.requireNonNull(link, "link");
         this.request = Objects.requireNonNull(request, "request");
         this.open = Objects.requireNonNull(open, "open");
@@ -59,6 +71,21 @@
         return content;
     }
 
+    /** Returns the client for which the request is held. */
+    ClientRegister.Client client() {
+        return client;
+    }
+
+    /** Returns what is held for the request, in bytes. */
+    long heldBytes() {
+        return ended ? 0 : weightOf(open) + call.heldBytes();
+    }
+
+    /** Returns what the head of a request takes, with the objects that its fields become, in bytes. */
+    static long weightOf(RelayOpen head) {
+        return head.getSerializedSize() + (long) head.getFieldsCount() * FIELD_WEIGHT;
+    }
+
     void body(byte[] bytes) {
         content.update(bytes);
         call.body(bytes);
@@ -83,6 +110,7 @@
     /** Reports to the sender that the request was not executed and will not be. */
     void refuse(Refusal reason, long retryAfterMillis) {
         log("refused", reason.name(), retryAfterMillis);
+        call.close();
         finish(RelayFrames.refused(reason, retryAfterMillis, server.load(), server.storeVersions()));
     }
 
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/FrameLink.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/FrameLink.java
@@ -34,6 +34,13 @@
          */
         void onFrame(RelayFrame frame);
 
+        /**
+         * Handles that bytes were read.
+         *
+         * @param heldBytes what the link holds for frames that are not whole, in bytes
+         */
+        default void onBytesHeld(int heldBytes) {}
+
         /** Handles the end of the connection. */
         void onEnd();
 
@@ -129,6 +136,9 @@
                 return Promise.complete();
             }
         }
+        if (handler != null) {
+            handler.onBytesHeld(codec.heldBytes());
+        }
         return handler == null ? Promise.complete() : handler.whenReady();
     }
 
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateServer.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/peer/GateServer.java
@@ -11,12 +11,15 @@
 import io.activej.eventloop.Eventloop;
 import io.activej.net.SimpleServer;
 import io.activej.promise.Promise;
+import io.activej.reactor.Reactor;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.verbenamast.core.admission.AdmissionEffect;
 import org.verbenamast.core.admission.AdmissionLoad;
 import org.verbenamast.core.admission.AdmissionRequest;
+import org.verbenamast.core.admission.Refusal;
 import org.verbenamast.core.admission.ServerOutcome;
+import org.verbenamast.core.client.ClientRefusal;
 import org.verbenamast.core.model.Address;
 import org.verbenamast.core.model.ServerLoad;
 import org.verbenamast.core.relay.RelayCore;
@@ -24,6 +27,7 @@
 import org.verbenamast.core.watch.StoreVersions;
 import org.verbenamast.relay.RelayLoop;
 import org.verbenamast.relay.backend.BackendPool;
+import org.verbenamast.relay.net.ClientRegister;
 import org.verbenamast.relay.net.Sockets;
 import org.verbenamast.relay.telemetry.Hop;
 import org.verbenamast.relay.telemetry.RequestCounts;
@@ -37,7 +41,11 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(GateServer.class);
 
+    /** Retry delay while clients hold too much, in milliseconds. */
+    private static final long BUSY_RETRY_MILLIS = 1_000;
+
     private final SimpleServer server;
+    private final ClientRegister clients;
     private final RelayCore core;
     private final RelayLoop loop;
     private final BackendPool pool;
@@ -51,6 +59,7 @@
      *
      * @param eventloop the event loop of the process
      * @param address the address to listen on
+     * @param clients the connections of all clients of the process
      * @param core decides on admission
      * @param loop runs the decisions and carries out their effects
      * @param pool the connections to the backend server beside this node
@@ -59,10 +68,12 @@
     public GateServer(
             Eventloop eventloop,
             Address address,
+            ClientRegister clients,
             RelayCore core,
             RelayLoop loop,
             BackendPool pool,
             RequestCounts counts) {
+        this.clients = Objects.requireNonNull(clients, "clients");
         this.core = Objects.requireNonNull(core, "core");
         this.loop = Objects.requireNonNull(loop, "loop");
         this.pool = Objects.requireNonNull(pool, "pool");
@@ -70,7 +81,9 @@
         this.server = SimpleServer.builder(eventloop, socket -> {
                     FrameLink link = new FrameLink(socket);
                     links.add(link);
-                    link.setHandler(new LinkHandler(link));
+                    LinkHandler handler = new LinkHandler(link);
+                    link.setHandler(handler);
+                    clients.open(handler, RelayLoop.now());
                 })
                 .withSocketSettings(Sockets.SETTINGS)
                 .withListenAddress(Sockets.toSocketAddress(address))
@@ -150,6 +163,7 @@
 
     void exchangeEnded(AdmissionExchange exchange) {
         exchanges.remove(exchange.id());
+        clients.record(exchange.client(), 0, true, RelayLoop.now());
         core.crashReports().onEnded(exchange.id());
     }
 
@@ -160,7 +174,7 @@
     }
 
     /** Handles the frames of one link. */
-    private final class LinkHandler implements FrameLink.FrameHandler {
+    private final class LinkHandler implements FrameLink.FrameHandler, ClientRegister.Client {
 
         private final FrameLink link;
         private AdmissionExchange exchange;
@@ -188,6 +202,12 @@
         }
 
         private void open(RelayOpen open) {
+            exchange = null;
+            if (!clients.permits(this, AdmissionExchange.weightOf(open))) {
+                clients.count(ClientRefusal.HELD_BYTES);
+                link.send(RelayFrames.refused(Refusal.SHED, BUSY_RETRY_MILLIS, load(), storeVersions()));
+                return;
+            }
             loop.onStoreVersions(RelayFrames.news(open.getNews()));
             RelayFrames.request(++lastId, open, RelayLoop.now())
                     .peek(request -> open(request, open))
@@ -201,7 +221,7 @@
         }
 
         private void open(AdmissionRequest request, RelayOpen open) {
-            exchange = new AdmissionExchange(link, request, open, pool, GateServer.this);
+            exchange = new AdmissionExchange(link, this, request, open, pool, GateServer.this);
             exchanges.put(request.id(), exchange);
             core.crashReports().onArrived(request.id(), exchange.content());
             if (request.key().isPresent()) {
@@ -244,8 +264,24 @@
             }
         }
 
+        @Override
+        public void onBytesHeld(int heldBytes) {
+            long requestBytes = exchange == null ? 0 : exchange.heldBytes();
+            clients.record(this, heldBytes + requestBytes, true, RelayLoop.now());
+        }
+
+        @Override
+        public void evict() {
+            // The link may be the one whose bytes are being handled.
+            Reactor.getCurrentReactor().post(() -> {
+                link.close();
+                onEnd();
+            });
+        }
+
         @Override
         public void onEnd() {
+            clients.close(this);
             links.remove(link);
             if (exchange != null) {
                 AdmissionExchange withdrawn = exchange;
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/MetricsPage.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/MetricsPage.java
@@ -17,9 +17,11 @@
 import io.prometheus.metrics.model.snapshots.MetricSnapshot;
 import io.prometheus.metrics.model.snapshots.MetricSnapshots;
 import org.verbenamast.core.admission.AdmissionLoad;
+import org.verbenamast.core.client.ClientRefusal;
 import org.verbenamast.core.keys.KeyStatus;
 import org.verbenamast.core.relay.RelayCore;
 import org.verbenamast.relay.RelayLoop;
+import org.verbenamast.relay.net.ClientRegister;
 
 /** Renders the metrics of a node in the Prometheus text format, from the current state at each request. */
 public final class MetricsPage {
@@ -30,16 +32,19 @@
 
     private final RelayCore core;
     private final RequestCounts counts;
+    private final ClientRegister clients;
 
     /**
      * Creates the page of a node.
      *
      * @param core the decision logic, whose state becomes gauges
      * @param counts the counters of requests and store calls
+     * @param clients the connections of all clients
      */
-    public MetricsPage(RelayCore core, RequestCounts counts) {
+    public MetricsPage(RelayCore core, RequestCounts counts, ClientRegister clients) {
         this.core = Objects.requireNonNull(core, "core");
         this.counts = Objects.requireNonNull(counts, "counts");
+        this.clients = Objects.requireNonNull(clients, "clients");
     }
 
     /**
@@ -56,6 +61,7 @@
                 .metricSnapshot(storeCalls());
         addServer(snapshots, core.admission().load(now));
         addNode(snapshots);
+        addClients(snapshots);
         addKeys(snapshots, core.keys().status(now));
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         PrometheusTextFormatWriter.create().write(out, snapshots.build(), EscapingScheme.DEFAULT);
@@ -92,6 +98,23 @@
                 counter("errors", "Decisions and effects that failed with an unexpected error.", counts.errors()));
     }
 
+    private void addClients(MetricSnapshots.Builder snapshots) {
+        snapshots.metricSnapshot(
+                gauge("client_connections", "Connections of callers and other nodes.", clients.connections()));
+        snapshots.metricSnapshot(
+                gauge("client_held_bytes", "Bytes that the node holds for these connections.", clients.heldBytes()));
+        CounterSnapshot.Builder refusals = CounterSnapshot.builder()
+                .name(PREFIX + "client_refusals")
+                .help("Requests refused and connections closed for the limits on clients, by reason.");
+        for (ClientRefusal reason : ClientRefusal.values()) {
+            refusals.dataPoint(CounterDataPointSnapshot.builder()
+                    .labels(Labels.of("reason", reason.name()))
+                    .value(clients.refusals(reason))
+                    .build());
+        }
+        snapshots.metricSnapshot(refusals.build());
+    }
+
     private static void addKeys(MetricSnapshots.Builder snapshots, KeyStatus keys) {
         snapshots.metricSnapshot(gauge("key_ranges_owned", "Ranges of keys that the server owns.", keys.ownedRanges()));
         snapshots.metricSnapshot(gauge(
--- a/verbenamast-wire/src/main/java/org/verbenamast/wire/FrameCodec.java
+++ b/verbenamast-wire/src/main/java/org/verbenamast/wire/FrameCodec.java
@@ -23,6 +23,9 @@
     private static final int MAX_PREFIX_BYTES = 5;
     private static final int PAYLOAD_BITS = 7;
     private static final int PAYLOAD_MASK = 0x7f;
+    /** Largest buffer that a link keeps between frames, in bytes; a piece of a body fits. */
+    private static final int MAX_IDLE_BYTES = 64 * 1024;
+
     private static final int INCOMPLETE = -1;
 
     private final M prototype;
@@ -78,6 +81,9 @@
             throw WireException.shouldBeReadableFrame(String.valueOf(e.getMessage()));
         }
         pending.discardSomeReadBytes();
+        if (!pending.isReadable() && pending.capacity() > MAX_IDLE_BYTES) {
+            pending.clear().capacity(MAX_IDLE_BYTES);
+        }
     }
 
     /** Returns the first message of the pending bytes, or null while it is incomplete. */
@@ -125,6 +131,15 @@
         return messages.poll();
     }
 
+    /**
+     * Returns what the codec holds for a frame that is not whole.
+     *
+     * @return the bytes
+     */
+    public int heldBytes() {
+        return pending.readableBytes();
+    }
+
     @Override
     public void close() {
         pending.release();
