--- a/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Programs.java
+++ b/verbenamast-it/src/main/java/org/verbenamast/it/deploy/Programs.java
@@ -8,7 +8,7 @@
 /** Starts the programs of the project as processes. */
 final class Programs {
 
-    private static final List<String> NODE_FLAGS = List.of(
+    static final List<String> NODE_FLAGS = List.of(
             "-Xmx40m",
             "-Xms16m",
             "-Xss256k",
@@ -46,10 +46,10 @@
         return start(name, "node", NODE_FLAGS, List.of("--settings", settings.toString()));
     }
 
-    Process relay(String name, Path settings) throws IOException {
+    Process relay(String name, Path settings, List<String> flags) throws IOException {
         List<String> args = List.of("--settings", settings.toAbsolutePath().toString());
         if (relayCommand.isEmpty()) {
-            return start(name, "relay", NODE_FLAGS, args);
+            return start(name, "relay", flags, args);
         }
         List<String> command = new ArrayList<>(relayCommand);
         command.addAll(args);
