--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/EraPassage.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/EraPassage.java
@@ -29,11 +29,17 @@
 
     /** Records, before anything can renew an expired lease, whether this node holds one. */
     void recordLease(KeyMap map, long leaseNanos) {
-        leaseIsContinuous = leaseNanos > 0 && (leaseIsContinuous || map.isSettledIn(eras.era()));
+        leaseIsContinuous = leaseNanos > 0 && (leaseIsContinuous || isSettled(map));
     }
 
+    /** Returns whether a map lacks nothing that the store lost with its last era. */
+    boolean isSettled(KeyMap map) {
+        return map.isSettledIn(eras.era());
+    }
+
+    /** Returns whether this node may grant keys; on a map that is not settled, only those that it granted last. */
     boolean mayGrant(KeyMap map) {
-        return map.isSettledIn(eras.era()) || leaseIsContinuous;
+        return isSettled(map) || leaseIsContinuous;
     }
 
     /** Returns whether the era has changed since the last call, so that what was watched before says nothing. */
@@ -48,7 +54,7 @@
      * era have expired, or the first one of a store that this node has never known in another era.
      */
     boolean mayPlan(KeyMap map, long now) {
-        return map.isSettledIn(eras.era())
+        return isSettled(map)
                 || eras.isFirst() && map.isVacant()
                 || eras.isConfirmed() && now - eras.confirmedAt() >= planner.turnNanos(now);
     }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyController.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyController.java
@@ -163,7 +163,7 @@
             return Optional.empty();
         }
         grants.revoke(map);
-        List<GrantedKeys> keys = grants.grantsFrom(map);
+        List<GrantedKeys> keys = passage.isSettled(map) ? grants.grantsFrom(map) : grants.renewalsFrom(map);
         grants.recordGrant(keys, grantMillis, now, effects);
         return Optional.of(new KeyGrant(keys, grantMillis));
     }
--- a/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyGrantLedger.java
+++ b/verbenamast-core/src/main/java/org/verbenamast/core/keys/KeyGrantLedger.java
@@ -51,6 +51,15 @@
                 .toList();
     }
 
+    /** Returns the keys to grant while the map may lack moves that the store lost: those that were granted last. */
+    List<GrantedKeys> renewalsFrom(KeyMap map) {
+        return grantsFrom(map).stream()
+                .filter(grant -> granted.stream()
+                        .anyMatch(last ->
+                                last.epoch() == grant.epoch() && last.range().covers(grant.range())))
+                .toList();
+    }
+
     void recordGrant(List<GrantedKeys> grants, long durationMillis, long now, Effects effects) {
         granted.stream()
                 .filter(keys -> !grants.contains(keys))
--- a/verbenamast-core/src/test/java/org/verbenamast/core/keys/KeyEraScheduleTest.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/keys/KeyEraScheduleTest.java
@@ -50,7 +50,11 @@
                     fleet.run(fleet.random().nextInt(4_000), check);
                 }
                 fleet.stopStore(1_000);
-                fleet.run(1_000, check);
+                fleet.run(500, check);
+                VirtualKeys.Host restarted = fleet.randomHost();
+                restarted.stopNode();
+                restarted.startNode();
+                fleet.run(500, check);
                 fleet.restoreStore(copy);
                 fleet.run(fleet.random().nextInt(15_000), check);
             }
@@ -86,6 +90,19 @@
         }
     }
 
+    @Test
+    void should_assign_keys_as_soon_as_in_era_zero_when_the_first_era_of_the_store_is_a_later_one() {
+        // given
+        VirtualKeys fleet = new VirtualKeys(1, 4);
+        fleet.restoreStore(fleet.copyStore());
+
+        // when
+        fleet.run(5_000, () -> {});
+
+        // then
+        assertThat(fleet.unheldKeyCount()).isZero();
+    }
+
     @Test
     void should_go_on_granting_keys_when_the_store_comes_back_from_an_older_copy() {
         // given
--- a/verbenamast-core/src/test/java/org/verbenamast/core/keys/VirtualKeys.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/keys/VirtualKeys.java
@@ -19,6 +19,7 @@
 import org.verbenamast.core.roster.ServerState;
 import org.verbenamast.core.rows.RowReplica;
 import org.verbenamast.core.rows.StoreEffect;
+import org.verbenamast.core.rows.StoreEra;
 import org.verbenamast.core.rows.StoreResult;
 import org.verbenamast.core.rows.VirtualRows;
 import org.verbenamast.core.store.StoreFailure;
@@ -190,7 +191,8 @@
     }
 
     private void callStore(Host host, KeyController from, StoreEffect call) {
-        boolean unreachable = now < host.disconnectedUntil || now < storeDownUntil;
+        boolean sent = !(call instanceof StoreEffect.Commit commit) || new StoreEra(host.eras.era()).covers(commit);
+        boolean unreachable = !sent || now < host.disconnectedUntil || now < storeDownUntil;
         boolean answerLost = random.nextInt(20) == 0;
         boolean late = answerLost && random.nextBoolean();
         if (unreachable) {
--- a/verbenamast-core/src/test/java/org/verbenamast/core/rows/VirtualRows.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/rows/VirtualRows.java
@@ -35,7 +35,11 @@
     }
 
     private static long inEra(long era, long version) {
-        return new StoreVersion(era, StoreVersion.ofPacked(version).number()).packed();
+        return new StoreVersion(era, number(version)).packed();
+    }
+
+    private static long number(long version) {
+        return StoreVersion.ofPacked(version).number();
     }
 
     /** Returns the era. */
@@ -43,13 +47,16 @@
         return StoreVersion.ofPacked(version).era();
     }
 
+    /** Executes a transaction of any era, as the store does; the result of one of a former era is unknown. */
     private StoreResult commit(StoreEffect.Commit commit) {
-        if (!new StoreEra(era()).covers(commit)) {
-            return new StoreResult.Failed(StoreFailure.NO_ANSWER);
-        }
+        StoreResult result = commitInThisEra(commit);
+        return new StoreEra(era()).covers(commit) ? result : new StoreResult.Failed(StoreFailure.NO_ANSWER);
+    }
+
+    private StoreResult commitInThisEra(StoreEffect.Commit commit) {
         List<RowRef> refs = commit.changes().stream().map(RowChange::ref).toList();
         for (RowChange change : commit.changes()) {
-            if (read(change.ref()).expectedVersion() != change.expectedVersion()) {
+            if (number(read(change.ref()).expectedVersion()) != number(change.expectedVersion())) {
                 return new StoreResult.Conflicted(readAll(refs));
             }
         }
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/MetricsPage.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/telemetry/MetricsPage.java
@@ -75,6 +75,8 @@
     private void addNode(MetricSnapshots.Builder snapshots) {
         int members = core.roster().members().size();
         long manifest = core.manifest().version();
+        snapshots.metricSnapshot(
+                gauge("store_era", "Era of the store.", core.follow().eras().era()));
         snapshots.metricSnapshot(gauge("manifest_version", "Version of the manifest in force.", manifest));
         snapshots.metricSnapshot(gauge(
                 "manifest_unreadable_entries",
