--- a/verbenamast-core/src/test/java/org/verbenamast/core/keys/VirtualKeys.java
+++ b/verbenamast-core/src/test/java/org/verbenamast/core/keys/VirtualKeys.java
@@ -59,6 +59,7 @@
         private long nextHeartbeat;
         private long disconnectedUntil;
         private long nodeStarts;
+        private long readVersion;
 
         private Host(String name) {
             this.name = name;
@@ -66,6 +67,7 @@
 
         void startNode() {
             long start = ++nodeStarts;
+            readVersion = -1;
             roster = new Roster();
             replica = new RowReplica(row -> {});
             KeyControllerSettings self = new KeyControllerSettings(
@@ -139,7 +141,7 @@
             }
             refreshRoster();
             KeyController current = controller;
-            if (now >= disconnectedUntil && now >= storeDownUntil) {
+            if (now >= disconnectedUntil && now >= storeDownUntil && readVersion != store.version()) {
                 readStore();
             }
             eras.advance(now, effect -> {});
@@ -147,6 +149,7 @@
         }
 
         private void readStore() {
+            readVersion = store.version();
             eras.onEra(store.era(), now, effect -> {});
             replica.applySnapshot(store.keyMaps(), store.version());
             for (FollowedTable table : FollowedTable.values()) {
