Test servers write more than socket buffers take to a caller that should close

Cause: should_stop_an_endless_body_when_the_call_is_closed failed once in a run of the module on a loaded machine. The server wrote 4 MiB, which the buffers of two sockets can take before a caller that is not scheduled closes the connection, so that it saw no error. By reading; the case was not reproduced. Change: it writes up to 256 MiB until it sees the close; the check is the same, and stricter for a caller that reads on.

--- a/verbenamast-relay/src/test/java/org/verbenamast/relay/backend/BackendFixture.java
+++ b/verbenamast-relay/src/test/java/org/verbenamast/relay/backend/BackendFixture.java
@@ -33,6 +33,8 @@
 
     /** Far more than any head, line or trailer may have, in bytes; an endless answer is cut off there by the server. */
     static final int ENDLESS_BYTES = 4 * 1024 * 1024;
+    /** What a server writes at most to a caller that should close; more than the buffers of two sockets take. */
+    private static final long MOST_WRITTEN_BYTES = 256L * 1024 * 1024;
 
     static final int PIECE_BYTES = 8 * 1024;
     /** Time after which a test gives up a call, in milliseconds. */
@@ -118,7 +120,7 @@
 
     static void writeEndlessly(OutputStream out, String piece) throws IOException {
         byte[] block = bytes(piece.repeat(PIECE_BYTES / piece.length()));
-        for (long written = 0; written < ENDLESS_BYTES; written += block.length) {
+        for (long written = 0; written < MOST_WRITTEN_BYTES; written += block.length) {
             out.write(block);
         }
         throw new AssertionError("the caller should have closed the connection");
