--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayMain.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/RelayMain.java
@@ -10,6 +10,9 @@
 import io.vavr.control.Either;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.verbenamast.core.relay.RelayLimits;
+import org.verbenamast.platform.PlatformEnvironment;
+import org.verbenamast.relay.settings.RelayLimitSettings;
 import org.verbenamast.relay.settings.RelayNodeSettings;
 import org.verbenamast.relay.settings.SettingsWatch;
 import org.verbenamast.wire.settings.SettingsFault;
@@ -61,8 +64,12 @@
             err.println(PROGRAM + ": --settings FILE is needed; --help lists the options");
             return ExitCode.BAD_INPUT;
         }
-        Either<List<SettingsFault>, RelayNodeSettings> settings =
-                SettingsFile.read(Path.of(file), RelayNodeSettings::read);
+        Either<List<SettingsFault>, RelayNodeSettings> settings = SettingsFile.parse(
+                        "the limits in the environment",
+                        PlatformEnvironment.limits(),
+                        limits -> RelayLimitSettings.read(limits, RelayLimits.DEFAULT))
+                .flatMap(limits ->
+                        SettingsFile.read(Path.of(file), settingsFile -> RelayNodeSettings.read(settingsFile, limits)));
         if (settings.isLeft()) {
             settings.getLeft().forEach(fault -> err.println(PROGRAM + ": " + file + ": " + fault));
             return ExitCode.BAD_INPUT;
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/settings/RelayLimitSettings.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/settings/RelayLimitSettings.java
@@ -6,8 +6,8 @@
 import org.verbenamast.core.tenant.CapBounds;
 import org.verbenamast.wire.settings.SettingsNode;
 
-/** Reads the limits of a node from its settings file; every one may be missing. */
-final class RelayLimitSettings {
+/** Reads the limits of a node; every one may be missing. */
+public final class RelayLimitSettings {
 
     private static final long MAX_NUMBER = Integer.MAX_VALUE;
     private static final long MAX_HELD_BYTES = 1L << 40;
@@ -16,16 +16,22 @@
 
     private RelayLimitSettings() {}
 
-    static RelayLimits read(SettingsNode file) {
+    /**
+     * Reads limits.
+     *
+     * @param file the object that holds them
+     * @param usual the limits where it tells none
+     * @return the limits
+     */
+    public static RelayLimits read(SettingsNode file, RelayLimits usual) {
         return new RelayLimits(
-                host(file.object("host")),
-                caps(file.object("caps")),
-                clients(file.object("clients")),
-                file.number("hedgesPerMille", "requests for each thousand", 0, PER_MILLE, 0));
+                host(file.object("host"), usual.host()),
+                caps(file.object("caps"), usual.caps()),
+                clients(file.object("clients"), usual.clients()),
+                file.number("hedgesPerMille", "requests for each thousand", 0, PER_MILLE, usual.hedgesPerMille()));
     }
 
-    private static HostLimits host(SettingsNode host) {
-        HostLimits usual = HostLimits.DEFAULT;
+    private static HostLimits host(SettingsNode host, HostLimits usual) {
         return new HostLimits(
                 host.number("memoryMegabytes", "MB", 1, MAX_NUMBER, usual.memoryMegabytes()),
                 host.number("descriptors", "descriptors", 1, MAX_NUMBER, usual.descriptors()),
@@ -33,16 +39,14 @@
                 host.decimal("cpuShare", "cores", MAX_RATIO, usual.cpuShare()));
     }
 
-    private static CapBounds caps(SettingsNode caps) {
-        CapBounds usual = CapBounds.DEFAULT;
+    private static CapBounds caps(SettingsNode caps, CapBounds usual) {
         return new CapBounds(
                 caps.number("windowMillis", "milliseconds", 1, MAX_NUMBER, usual.windowMillis()),
                 caps.decimal("overage", "the cap", MAX_RATIO, usual.overage()),
                 caps.decimal("slack", "requests", MAX_NUMBER, usual.slack()));
     }
 
-    private static ClientLimits clients(SettingsNode clients) {
-        ClientLimits usual = ClientLimits.DEFAULT;
+    private static ClientLimits clients(SettingsNode clients, ClientLimits usual) {
         return new ClientLimits(
                 clients.number("heldBytes", "bytes", 0, MAX_HELD_BYTES, usual.heldBytes()),
                 clients.number("connections", "connections", 0, MAX_NUMBER, usual.connections()),
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/settings/RelayNodeSettings.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/settings/RelayNodeSettings.java
@@ -99,6 +99,17 @@
      * @return the settings; they contain placeholder values if the file has faults
      */
     public static RelayNodeSettings read(SettingsNode file) {
+        return read(file, RelayLimits.DEFAULT);
+    }
+
+    /**
+     * Reads the settings and records faults in {@code file}.
+     *
+     * @param file the settings file
+     * @param limits the limits where the file tells none
+     * @return the settings; they contain placeholder values if the file has faults
+     */
+    public static RelayNodeSettings read(SettingsNode file, RelayLimits limits) {
         return new RelayNodeSettings(
                 file.text("node", "a name that no other node has"),
                 file.form("zone", "the name of an availability zone", Zone::new, new Zone("-")),
@@ -113,7 +124,7 @@
                 file.number("drainMillis", "milliseconds", 1, MAX_DURATION, DEFAULT_DRAIN_MILLIS),
                 file.number("graceSeconds", "seconds", 1, MAX_DURATION, DEFAULT_GRACE_SECONDS),
                 file.number("longestHoldMillis", "milliseconds", 1, MAX_DURATION, DEFAULT_GRANT_MILLIS),
-                RelayLimitSettings.read(file));
+                RelayLimitSettings.read(file, limits));
     }
 
     private static Address address(SettingsNode file, String field) {
--- a/verbenamast-relay/src/main/java/org/verbenamast/relay/settings/SettingsWatch.java
+++ b/verbenamast-relay/src/main/java/org/verbenamast/relay/settings/SettingsWatch.java
@@ -72,7 +72,8 @@
      * @return the settings now in force, or empty if they have not changed
      */
     public Optional<RelayNodeSettings> read() {
-        Either<List<SettingsFault>, RelayNodeSettings> next = SettingsFile.read(file, RelayNodeSettings::read);
+        Either<List<SettingsFault>, RelayNodeSettings> next =
+                SettingsFile.read(file, settings -> RelayNodeSettings.read(settings, inForce.limits()));
         if (next.isLeft()) {
             next.getLeft().forEach(fault -> LOG.warn("new settings rejected: {}: {}", file, fault));
             return Optional.empty();
